--- /dev/null
+++ b/src/bin/apricotrund/run.rs
@@ -0,0 +1,15 @@
+//! Runs the daemon.
+
+use apricotrun::transport::daemon;
+use apricotrun::transport::error::CliResult;
+use apricotrun::transport::settings::DaemonSettings;
+use std::path::Path;
+
+/// The arguments of `run`.
+#[derive(Debug, clap::Args)]
+pub struct Args {}
+
+/// Runs the daemon until it is told to stop.
+pub fn run(config: &Path, _args: Args) -> CliResult<()> {
+    daemon::run(DaemonSettings::read(config)?)
+}
--- /dev/null
+++ b/src/coordination/crashes.rs
@@ -0,0 +1,55 @@
+//! Counts the upstreams that a request body has ended, so that it is not tried without end.
+
+use crate::coordination::flow::CRASH_LIMIT;
+use crate::coordination::messages::CrashReport;
+use crate::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a lost upstream counts against a body.
+pub const CRASH_MEMORY: Duration = Duration::from_secs(3600);
+/// How many bodies are remembered; the oldest go first.
+const MAX_BODIES: usize = 4096;
+
+#[derive(Debug)]
+struct CrashEntry {
+    attempts: BTreeSet<AttemptId>,
+    last: Instant,
+}
+
+/// The bodies during which upstreams were lost.
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    bodies: BTreeMap<Fingerprint, CrashEntry>,
+}
+
+impl CrashLedger {
+    /// Takes a report in, which may come more than once.
+    pub fn record(&mut self, now: Instant, report: CrashReport) {
+        self.prune(now);
+        let entry = self
+            .bodies
+            .entry(report.fingerprint)
+            .or_insert_with(|| CrashEntry { attempts: BTreeSet::new(), last: now });
+        entry.last = now;
+        if entry.attempts.len() < CRASH_LIMIT as usize {
+            entry.attempts.insert(report.attempt);
+        }
+    }
+
+    /// Returns how many upstreams a body has ended lately.
+    pub fn count(&self, now: Instant, fingerprint: &Fingerprint) -> u32 {
+        match self.bodies.get(fingerprint) {
+            Some(entry) if now < entry.last + CRASH_MEMORY => entry.attempts.len() as u32,
+            _ => 0,
+        }
+    }
+
+    fn prune(&mut self, now: Instant) {
+        self.bodies.retain(|_, entry| now < entry.last + CRASH_MEMORY);
+        while self.bodies.len() >= MAX_BODIES {
+            let oldest = self.bodies.iter().min_by_key(|(_, entry)| entry.last);
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else { return };
+            self.bodies.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/membership.rs
@@ -0,0 +1,472 @@
+//! Which daemons are alive, learned by probing at a constant cost a daemon.
+//!
+//! Each daemon probes one other a period, first directly, then through helpers. Who does not
+//! answer is suspected and has a short time to object with a higher version. News travels on the
+//! probes. See docs/DESIGN.md, "Membership".
+
+use crate::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use crate::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// How often a daemon probes another.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// How long a direct probe may take before helpers are asked.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(80);
+/// How long a suspected member has to object.
+pub const SUSPICION_TIME: Duration = Duration::from_millis(1_000);
+/// How many helpers are asked.
+const HELPERS: usize = 2;
+/// Every how many probes one goes to another failure domain.
+const FOREIGN_PROBE_EVERY: u32 = 4;
+/// How often the whole membership is exchanged with one other member.
+const EXCHANGE_PERIOD: Duration = Duration::from_secs(30);
+/// How often a daemon that knows nobody asks its seeds, and every daemon a dead one.
+const SEED_PERIOD: Duration = Duration::from_secs(1);
+/// How long the dead are remembered.
+const DEAD_MEMORY: Duration = Duration::from_secs(3600);
+/// How many news one message carries.
+const MAX_UPDATES: usize = 6;
+/// How many records one list message carries.
+const MAX_LISTED: usize = 10;
+/// How often a piece of news is passed on, times the logarithm of the members.
+const SPREAD_FACTOR: u32 = 3;
+
+/// What happens to the membership.
+#[derive(Clone, Debug)]
+pub enum MemberEvent {
+    /// A message from an address.
+    Received(SocketAddr, GossipMessage),
+    /// This daemon has this configuration now.
+    Revision(Revision),
+    /// This daemon is about to stop.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the membership wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberAction {
+    /// Send a message.
+    Send(SocketAddr, GossipMessage),
+    /// The members that are alive have changed.
+    Changed,
+    /// The daemon at this address has a configuration of this revision.
+    Newer(SocketAddr, Revision),
+}
+
+#[derive(Debug)]
+struct MemberEntry {
+    passes_left: u32,
+    record: MemberRecord,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct OpenProbe {
+    helpers_asked: bool,
+    nonce: u64,
+    sent: Instant,
+    target: HostName,
+}
+
+#[derive(Debug)]
+struct RelayedProbe {
+    asker: SocketAddr,
+    nonce: u64,
+    sent: Instant,
+}
+
+/// The members as this daemon knows them.
+#[derive(Debug)]
+pub struct MemberTable {
+    me: MemberRecord,
+    members: BTreeMap<HostName, MemberEntry>,
+    next_exchange: Instant,
+    next_probe: Instant,
+    next_seed: Instant,
+    order: Vec<HostName>,
+    probe: Option<OpenProbe>,
+    probes: u32,
+    relays: BTreeMap<u64, RelayedProbe>,
+    revision: Revision,
+    rng: ChaCha8Rng,
+    seeds: Vec<SocketAddr>,
+}
+
+impl MemberTable {
+    /// Returns a table that knows only this daemon and its seeds.
+    pub fn new(now: Instant, me: MemberRecord, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        Self {
+            me,
+            members: BTreeMap::new(),
+            next_exchange: now + EXCHANGE_PERIOD,
+            next_probe: now,
+            next_seed: now,
+            order: Vec::new(),
+            probe: None,
+            probes: 0,
+            relays: BTreeMap::new(),
+            revision: Revision(0),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seeds,
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: MemberEvent) -> Vec<MemberAction> {
+        let mut out = Vec::new();
+        match event {
+            MemberEvent::Received(from, message) => self.receive(now, from, message, &mut out),
+            MemberEvent::Revision(revision) => self.revision = revision,
+            MemberEvent::Leave => {
+                self.me.state = MemberState::Leaving;
+                self.announce(&mut out);
+            }
+            MemberEvent::Tick => self.tick(now, &mut out),
+        }
+        out
+    }
+
+    /// Returns this daemon's own record.
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Returns the records of all other members, the dead among them.
+    pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the daemons that still run, this one among them; the leaving ones too, since they
+    /// finish their requests.
+    pub fn running(&self) -> impl Iterator<Item = &MemberRecord> {
+        let others = self.others().filter(|record| record.state != MemberState::Dead);
+        std::iter::once(&self.me).chain(others)
+    }
+
+    /// Returns the daemons of a failure domain that may take duties.
+    pub fn eligible(&self, domain: &DomainName) -> impl Iterator<Item = &MemberRecord> {
+        let domain = domain.clone();
+        self.running()
+            .filter(move |record| record.domain == domain && record.state != MemberState::Leaving)
+    }
+
+    /// Returns the failure domains of which a daemon runs, this daemon's own first.
+    pub fn domains(&self) -> Vec<DomainName> {
+        let all: BTreeSet<_> = self.running().map(|record| record.domain.clone()).collect();
+        let others = all.into_iter().filter(|domain| *domain != self.me.domain);
+        std::iter::once(self.me.domain.clone()).chain(others).collect()
+    }
+
+    /// Returns the record of a running daemon.
+    pub fn find(&self, daemon: &DaemonId) -> Option<&MemberRecord> {
+        self.running().find(|record| record.daemon == *daemon)
+    }
+
+    fn receive(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        message: GossipMessage,
+        out: &mut Vec<MemberAction>,
+    ) {
+        match message {
+            GossipMessage::Ping { nonce, revision, updates } => {
+                self.learn_all(now, updates, out);
+                self.note_revision(from, revision, out);
+                let updates = self.news();
+                let ack = GossipMessage::Ack { nonce, revision: self.revision, updates };
+                out.push(MemberAction::Send(from, ack));
+            }
+            GossipMessage::Ack { nonce, revision, updates } => {
+                self.learn_all(now, updates, out);
+                self.note_revision(from, revision, out);
+                self.acknowledged(nonce, out);
+            }
+            GossipMessage::PingFor { nonce, target } => {
+                let own = self.rng.random();
+                let relay = RelayedProbe { asker: from, nonce, sent: now };
+                self.relays.insert(own, relay);
+                let ping = self.ping(own);
+                out.push(MemberAction::Send(target, ping));
+            }
+            GossipMessage::Join(record) => {
+                self.learn(now, record, out);
+                self.send_members(from, out);
+            }
+            GossipMessage::Members(records) => self.learn_all(now, records, out),
+        }
+    }
+
+    fn note_revision(&mut self, from: SocketAddr, revision: Revision, out: &mut Vec<MemberAction>) {
+        if revision > self.revision {
+            out.push(MemberAction::Newer(from, revision));
+        }
+    }
+
+    fn acknowledged(&mut self, nonce: u64, out: &mut Vec<MemberAction>) {
+        if self.probe.as_ref().is_some_and(|probe| probe.nonce == nonce) {
+            self.probe = None;
+        }
+        if let Some(relay) = self.relays.remove(&nonce) {
+            let (nonce, revision) = (relay.nonce, Revision(0));
+            let ack = GossipMessage::Ack { nonce, revision, updates: Vec::new() };
+            out.push(MemberAction::Send(relay.asker, ack));
+        }
+    }
+
+    fn learn_all(&mut self, now: Instant, records: Vec<MemberRecord>, out: &mut Vec<MemberAction>) {
+        records.into_iter().for_each(|record| self.learn(now, record, out));
+    }
+
+    fn learn(&mut self, now: Instant, record: MemberRecord, out: &mut Vec<MemberAction>) {
+        if record.daemon.host == self.me.daemon.host {
+            return self.hear_of_myself(&record);
+        }
+        let known = self.members.get(&record.daemon.host);
+        if known.is_some_and(|entry| rank(&entry.record) >= rank(&record)) {
+            return;
+        }
+        if known.is_none() && record.state == MemberState::Dead {
+            return;
+        }
+        let before = known.map(|entry| (entry.record.daemon.clone(), entry.record.state));
+        let after = (record.daemon.clone(), record.state);
+        self.store(now, record);
+        // A suspected member keeps its duties until it is declared dead.
+        let same = before
+            .is_some_and(|before| before.0 == after.0 && duties_of(before.1) == duties_of(after.1));
+        if !same {
+            out.push(MemberAction::Changed);
+        }
+    }
+
+    fn store(&mut self, now: Instant, record: MemberRecord) {
+        let passes_left = self.passes();
+        let host = record.daemon.host.clone();
+        self.members.insert(host, MemberEntry { passes_left, record, since: now });
+    }
+
+    /// Objects to news that this daemon is suspected or dead.
+    fn hear_of_myself(&mut self, record: &MemberRecord) {
+        let worse = record.daemon == self.me.daemon
+            && matches!(record.state, MemberState::Suspect | MemberState::Dead);
+        if worse && record.version >= self.me.version {
+            self.me.version = record.version + 1;
+        }
+    }
+
+    fn passes(&self) -> u32 {
+        let members = self.members.len() as u32 + 2;
+        SPREAD_FACTOR * members.ilog2().max(1)
+    }
+
+    /// Returns this daemon's record and the news that were passed on least often.
+    fn news(&mut self) -> Vec<MemberRecord> {
+        let mut fresh: Vec<_> =
+            self.members.values_mut().filter(|entry| entry.passes_left > 0).collect();
+        fresh.sort_by_key(|entry| std::cmp::Reverse(entry.passes_left));
+        let mut updates = vec![self.me.clone()];
+        for entry in fresh.into_iter().take(MAX_UPDATES) {
+            entry.passes_left -= 1;
+            updates.push(entry.record.clone());
+        }
+        updates
+    }
+
+    fn ping(&mut self, nonce: u64) -> GossipMessage {
+        GossipMessage::Ping { nonce, revision: self.revision, updates: self.news() }
+    }
+
+    fn announce(&mut self, out: &mut Vec<MemberAction>) {
+        let record = self.me.clone();
+        let local = self.others().filter(|other| other.state != MemberState::Dead);
+        let message = GossipMessage::Members(vec![record]);
+        out.extend(local.map(|other| MemberAction::Send(other.peer, message.clone())));
+    }
+
+    fn send_members(&self, to: SocketAddr, out: &mut Vec<MemberAction>) {
+        let all: Vec<_> = self.running().cloned().collect();
+        for part in all.chunks(MAX_LISTED) {
+            out.push(MemberAction::Send(to, GossipMessage::Members(part.to_vec())));
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
+        self.follow_probe(now, out);
+        self.bury(now, out);
+        if now >= self.next_probe {
+            self.next_probe = now + PROBE_PERIOD;
+            self.fail_probe(now);
+            self.start_probe(now, out);
+        }
+        if now >= self.next_seed {
+            self.next_seed = now + SEED_PERIOD;
+            self.contact_lost(out);
+        }
+        if now >= self.next_exchange {
+            self.next_exchange = now + EXCHANGE_PERIOD;
+            self.exchange(out);
+        }
+        self.relays.retain(|_, relay| now < relay.sent + PROBE_PERIOD * 4);
+    }
+
+    /// Asks helpers when the direct probe has had no answer.
+    fn follow_probe(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
+        let Some(probe) = &mut self.probe else { return };
+        if probe.helpers_asked || now < probe.sent + DIRECT_TIMEOUT {
+            return;
+        }
+        probe.helpers_asked = true;
+        let (nonce, target) = (probe.nonce, probe.target.clone());
+        let Some(entry) = self.members.get(&target) else { return };
+        let message = GossipMessage::PingFor { nonce, target: entry.record.peer };
+        let domain = entry.record.domain.clone();
+        let helpers: Vec<_> = self
+            .members
+            .values()
+            .filter(|entry| entry.record.state == MemberState::Alive)
+            .filter(|entry| entry.record.daemon.host != target && entry.record.domain == domain)
+            .map(|entry| entry.record.peer)
+            .collect();
+        for helper in helpers.choose_multiple(&mut self.rng, HELPERS) {
+            out.push(MemberAction::Send(*helper, message.clone()));
+        }
+    }
+
+    fn fail_probe(&mut self, now: Instant) {
+        let Some(probe) = self.probe.take() else { return };
+        let Some(entry) = self.members.get(&probe.target) else { return };
+        let mut record = entry.record.clone();
+        // A leaving daemon cannot be suspected: its record would win. It is dead when it is silent.
+        record.state = match record.state {
+            MemberState::Alive => MemberState::Suspect,
+            MemberState::Leaving => MemberState::Dead,
+            MemberState::Suspect | MemberState::Dead => return,
+        };
+        self.store(now, record);
+    }
+
+    /// Declares dead who has been suspected too long, and forgets who is dead too long.
+    fn bury(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
+        let is_over = |entry: &&MemberEntry| {
+            entry.record.state == MemberState::Suspect && now >= entry.since + SUSPICION_TIME
+        };
+        let over: Vec<_> =
+            self.members.values().filter(is_over).map(|e| e.record.clone()).collect();
+        for record in over {
+            self.store(now, MemberRecord { state: MemberState::Dead, ..record });
+            out.push(MemberAction::Changed);
+        }
+        self.members.retain(|_, entry| {
+            entry.record.state != MemberState::Dead || now < entry.since + DEAD_MEMORY
+        });
+    }
+
+    fn start_probe(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
+        let Some(target) = self.next_target() else { return };
+        let nonce = self.rng.random();
+        let peer = self.members[&target].record.peer;
+        let ping = self.ping(nonce);
+        // The suspected must hear of it to be able to object.
+        let ping = self.with_record(ping, &target);
+        out.push(MemberAction::Send(peer, ping));
+        self.probe = Some(OpenProbe { helpers_asked: false, nonce, sent: now, target });
+    }
+
+    fn with_record(&self, ping: GossipMessage, target: &HostName) -> GossipMessage {
+        let record = &self.members[target].record;
+        match ping {
+            GossipMessage::Ping { nonce, revision, mut updates }
+                if record.state != MemberState::Alive && !updates.contains(record) =>
+            {
+                updates.push(record.clone());
+                GossipMessage::Ping { nonce, revision, updates }
+            }
+            other => other,
+        }
+    }
+
+    /// Returns whom to probe: each member of the own failure domain in a shuffled round, and now
+    /// and then one of another.
+    fn next_target(&mut self) -> Option<HostName> {
+        self.probes = self.probes.wrapping_add(1);
+        if self.probes.is_multiple_of(FOREIGN_PROBE_EVERY)
+            && let Some(host) = self.random_foreign()
+        {
+            return Some(host);
+        }
+        while let Some(host) = self.order.pop() {
+            if self.members.get(&host).is_some_and(|e| e.record.state != MemberState::Dead) {
+                return Some(host);
+            }
+        }
+        let local = self.members.values().filter(|entry| {
+            entry.record.domain == self.me.domain && entry.record.state != MemberState::Dead
+        });
+        self.order = local.map(|entry| entry.record.daemon.host.clone()).collect();
+        self.order.shuffle(&mut self.rng);
+        match self.order.pop() {
+            Some(host) => Some(host),
+            None => self.random_foreign(),
+        }
+    }
+
+    fn random_foreign(&mut self) -> Option<HostName> {
+        let foreign: Vec<_> = self
+            .members
+            .values()
+            .filter(|entry| entry.record.domain != self.me.domain)
+            .filter(|entry| entry.record.state != MemberState::Dead)
+            .map(|entry| entry.record.daemon.host.clone())
+            .collect();
+        foreign.choose(&mut self.rng).cloned()
+    }
+
+    /// Asks the seeds while alone, and one of the dead, so that a healed cut is noticed.
+    fn contact_lost(&mut self, out: &mut Vec<MemberAction>) {
+        let join = GossipMessage::Join(self.me.clone());
+        if !self.others().any(|record| record.state != MemberState::Dead) {
+            let seeds = self.seeds.iter().filter(|seed| **seed != self.me.peer);
+            out.extend(seeds.map(|seed| MemberAction::Send(*seed, join.clone())));
+        }
+        let dead = self.others().filter(|record| record.state == MemberState::Dead);
+        let dead: Vec<_> = dead.cloned().collect();
+        let Some(record) = dead.choose(&mut self.rng) else { return };
+        let (nonce, revision) = (self.rng.random(), self.revision);
+        let updates = vec![self.me.clone(), record.clone()];
+        let ping = GossipMessage::Ping { nonce, revision, updates };
+        out.push(MemberAction::Send(record.peer, ping));
+    }
+
+    fn exchange(&mut self, out: &mut Vec<MemberAction>) {
+        let running: Vec<_> = self
+            .others()
+            .filter(|record| record.state != MemberState::Dead)
+            .map(|record| record.peer)
+            .collect();
+        if let Some(peer) = running.choose(&mut self.rng) {
+            out.push(MemberAction::Send(*peer, GossipMessage::Join(self.me.clone())));
+        }
+    }
+}
+
+/// Orders records of one host: a later life, a later version, then the later state wins.
+fn rank(record: &MemberRecord) -> (Incarnation, u32, MemberState) {
+    (record.daemon.incarnation, record.version, record.state)
+}
+
+/// Reduces a state to what it means for duties: full, finishing, or none.
+fn duties_of(state: MemberState) -> u8 {
+    match state {
+        MemberState::Alive | MemberState::Suspect => 2,
+        MemberState::Leaving => 1,
+        MemberState::Dead => 0,
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,13 @@
+//! The decisions. Each coordinator is a value that takes the time and an event and returns
+//! actions; it does no input or output, so a test can state any failure as a list of events.
+
+pub mod claims;
+pub mod config;
+pub mod crashes;
+pub mod flow;
+pub mod membership;
+pub mod messages;
+pub mod ownership;
+pub mod shard;
+pub mod store;
+pub mod tickets;
--- /dev/null
+++ b/src/coordination/shard/mod.rs
@@ -0,0 +1,15 @@
+//! The shard owner: admits work to the upstreams of one service in one failure domain.
+//!
+//! A prefill starts only together with a reserved decode slot, so that no prefill result waits
+//! for room. What cannot meet its targets is refused at once with a time to come back. See
+//! docs/DESIGN.md, "Shard owner".
+
+mod bookings;
+mod estimate;
+mod ledger;
+mod pool;
+mod prefixes;
+mod queue;
+mod recovery;
+
+pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
--- /dev/null
+++ b/src/coordination/shard/pool.rs
@@ -0,0 +1,360 @@
+//! The upstreams of a shard, what they hold, and the choice among them.
+
+use crate::coordination::messages::{AskMessage, ClaimPhase, GrantMessage, SlotClaim};
+use crate::coordination::shard::estimate::UsableSlots;
+use crate::coordination::shard::prefixes::PrefixMemory;
+use crate::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long an upstream rests after its first failure.
+const FIRST_REST: Duration = Duration::from_secs(1);
+/// How long an upstream rests at most.
+const MAX_REST: Duration = Duration::from_secs(8);
+/// How long an upstream that said it is full gets nothing.
+const FULL_REST: Duration = Duration::from_millis(100);
+/// How long after a failed cancel the next one is sent.
+const CANCEL_RETRY: Duration = Duration::from_millis(500);
+
+/// A claim as the ledger holds it.
+#[derive(Debug)]
+pub struct HeldClaim {
+    /// What is held.
+    pub claim: SlotClaim,
+    /// When it was granted or first reported.
+    pub since: Instant,
+    /// The upstreams that have still to confirm a cancel, and when each is asked next.
+    pub cancelling: Option<BTreeMap<UpstreamName, Instant>>,
+}
+
+#[derive(Debug)]
+struct PoolWorker {
+    failures: u32,
+    pieces: u32,
+    rest_until: Option<Instant>,
+    slots: u32,
+    spec: UpstreamSpec,
+    suspects: u32,
+    transfers: u32,
+}
+
+impl PoolWorker {
+    fn new(spec: UpstreamSpec) -> Self {
+        Self { failures: 0, pieces: 0, rest_until: None, slots: 0, spec, suspects: 0, transfers: 0 }
+    }
+
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.spec.leaving && self.rest_until.is_none_or(|until| until <= now)
+    }
+
+    fn has_room(&self, pieces: Pieces) -> bool {
+        let memory = self.spec.pieces.is_none_or(|all| self.pieces + pieces.0 <= all.0);
+        memory && self.slots < self.spec.slots.0
+    }
+
+    fn load(&self) -> u64 {
+        u64::from(self.slots) * 1000 / u64::from(self.spec.slots.0)
+    }
+}
+
+/// A row of the status report.
+#[derive(Clone, Debug)]
+pub struct WorkerReport {
+    /// The upstream.
+    pub spec: UpstreamSpec,
+    /// The slots in use.
+    pub slots: u32,
+    /// The pieces of memory in use.
+    pub pieces: u32,
+    /// Whether it takes work now.
+    pub usable: bool,
+}
+
+/// The upstreams of one shard with exact accounts of what they hold.
+#[derive(Debug, Default)]
+pub struct WorkerPool {
+    claims: BTreeMap<AttemptId, HeldClaim>,
+    held: BTreeMap<AccountName, u32>,
+    workers: BTreeMap<UpstreamName, PoolWorker>,
+}
+
+impl WorkerPool {
+    /// Takes over the upstreams of a configuration; claims stay with those that remain.
+    pub fn configure<'a>(&mut self, specs: impl Iterator<Item = &'a UpstreamSpec>) {
+        let mut old = std::mem::take(&mut self.workers);
+        for spec in specs {
+            let worker = match old.remove(&spec.name) {
+                Some(worker) => PoolWorker { spec: spec.clone(), ..worker },
+                None => PoolWorker::new(spec.clone()),
+            };
+            self.workers.insert(spec.name.clone(), worker);
+        }
+        self.recount();
+    }
+
+    /// Returns the claim of an attempt.
+    pub fn claim(&self, attempt: &AttemptId) -> Option<&HeldClaim> {
+        self.claims.get(attempt)
+    }
+
+    /// Returns the claims of one entry.
+    pub fn claims_of<'a>(&'a self, entry: &'a DaemonId) -> impl Iterator<Item = &'a HeldClaim> {
+        self.claims.values().filter(move |held| held.claim.attempt.request.entry == *entry)
+    }
+
+    /// Returns all claims.
+    pub fn claims(&self) -> impl Iterator<Item = &HeldClaim> {
+        self.claims.values()
+    }
+
+    /// Returns how many slots an account holds.
+    pub fn held_of(&self, account: &AccountName) -> u32 {
+        self.held.get(account).copied().unwrap_or(0)
+    }
+
+    /// Adds a claim or replaces the attempt's earlier one.
+    pub fn insert(&mut self, now: Instant, claim: SlotClaim) {
+        let since = match self.remove(&claim.attempt) {
+            Some(old) => old.since,
+            None => now,
+        };
+        self.count(&claim, true);
+        let held = HeldClaim { claim, since, cancelling: None };
+        self.claims.insert(held.claim.attempt.clone(), held);
+    }
+
+    /// Removes a claim.
+    pub fn remove(&mut self, attempt: &AttemptId) -> Option<HeldClaim> {
+        let held = self.claims.remove(attempt)?;
+        self.count(&held.claim, false);
+        Some(held)
+    }
+
+    /// Marks a claim as orphaned: its upstreams must confirm a cancel before the slot is free.
+    pub fn orphan(&mut self, now: Instant, attempt: &AttemptId) {
+        let Some(held) = self.claims.get_mut(attempt) else { return };
+        if held.cancelling.is_some() {
+            return;
+        }
+        let names = std::iter::once(&held.claim.runner).chain(&held.claim.prefill);
+        held.cancelling = Some(names.map(|name| (name.clone(), now)).collect());
+    }
+
+    /// Returns the cancels that are due, and schedules their next try.
+    pub fn due_cancels(&mut self, now: Instant) -> Vec<(UpstreamSpec, AttemptId)> {
+        let mut due = Vec::new();
+        let mut settled = Vec::new();
+        for (attempt, held) in &mut self.claims {
+            let Some(cancelling) = &mut held.cancelling else { continue };
+            cancelling.retain(|name, _| self.workers.contains_key(name));
+            for (name, at) in cancelling.iter_mut().filter(|(_, at)| **at <= now) {
+                *at = now + CANCEL_RETRY;
+                due.push((self.workers[name].spec.clone(), attempt.clone()));
+            }
+            if cancelling.is_empty() {
+                settled.push(attempt.clone());
+            }
+        }
+        for attempt in settled {
+            self.remove(&attempt);
+        }
+        due
+    }
+
+    /// Notes that an upstream confirmed a cancel. Returns whether the claim is free now.
+    pub fn confirm_cancel(&mut self, attempt: &AttemptId, upstream: &UpstreamName) -> bool {
+        let Some(held) = self.claims.get_mut(attempt) else { return false };
+        let Some(cancelling) = &mut held.cancelling else { return false };
+        cancelling.remove(upstream);
+        if !cancelling.is_empty() {
+            return false;
+        }
+        self.remove(attempt);
+        true
+    }
+
+    /// Notes that an upstream did not answer.
+    pub fn note_failure(&mut self, now: Instant, name: &UpstreamName) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let rest = FIRST_REST.saturating_mul(1 << worker.failures.min(8)).min(MAX_REST);
+        worker.failures += 1;
+        worker.rest_until = Some(now + rest);
+    }
+
+    /// Notes that an upstream refused for want of room.
+    pub fn note_full(&mut self, now: Instant, name: &UpstreamName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.rest_until = Some(now + FULL_REST);
+        }
+    }
+
+    /// Notes that an upstream answered.
+    pub fn note_success(&mut self, name: &UpstreamName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.failures = 0;
+            worker.rest_until = None;
+        }
+    }
+
+    /// Returns the slots that can be used now.
+    pub fn usable(&self, now: Instant) -> UsableSlots {
+        let mut slots = UsableSlots::default();
+        for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
+            match worker.spec.role {
+                UpstreamRole::Prefill => slots.prefill += worker.spec.slots.0,
+                UpstreamRole::Decode | UpstreamRole::Plain => slots.run += worker.spec.slots.0,
+            }
+        }
+        slots
+    }
+
+    /// Returns whether the shard computes prompts on upstreams of their own.
+    pub fn needs_prefill(&self) -> bool {
+        self.workers.values().any(|worker| worker.spec.role == UpstreamRole::Prefill)
+    }
+
+    /// Returns whether any upstream, were it empty, could hold this much memory.
+    pub fn could_hold(&self, pieces: Pieces) -> bool {
+        let mut runners = self.runners();
+        runners.any(|worker| worker.spec.pieces.is_none_or(|all| pieces <= all))
+    }
+
+    /// Chooses upstreams for an ask, or returns nothing while there is no room.
+    pub fn place(
+        &self,
+        now: Instant,
+        ask: &AskMessage,
+        pieces: Pieces,
+        prefixes: &PrefixMemory,
+    ) -> Option<GrantMessage> {
+        let runner = self.choose_runner(now, ask, pieces)?;
+        let prefill = match self.needs_prefill() {
+            true => Some(self.choose_prefill(now, ask, prefixes)?),
+            false => None,
+        };
+        let claim = SlotClaim {
+            account: ask.account.clone(),
+            attempt: ask.attempt.clone(),
+            phase: if prefill.is_some() { ClaimPhase::Prefill } else { ClaimPhase::Run },
+            pieces,
+            prefill: prefill.map(|worker| worker.spec.name.clone()),
+            runner: runner.spec.name.clone(),
+            suspect: ask.suspect,
+        };
+        Some(GrantMessage {
+            claim,
+            prefill_address: prefill.map(|worker| worker.spec.address),
+            runner_address: runner.spec.address,
+        })
+    }
+
+    /// Returns the grant that an attempt already has, for an ask that comes twice.
+    pub fn grant_of(&self, attempt: &AttemptId) -> Option<GrantMessage> {
+        let held = self.claims.get(attempt)?;
+        let address = |name: &UpstreamName| self.workers.get(name).map(|w| w.spec.address);
+        Some(GrantMessage {
+            claim: held.claim.clone(),
+            prefill_address: held.claim.prefill.as_ref().and_then(address),
+            runner_address: address(&held.claim.runner)?,
+        })
+    }
+
+    /// Returns a row for each upstream.
+    pub fn report(&self, now: Instant) -> Vec<WorkerReport> {
+        let row = |worker: &PoolWorker| WorkerReport {
+            spec: worker.spec.clone(),
+            slots: worker.slots,
+            pieces: worker.pieces,
+            usable: worker.is_usable(now),
+        };
+        self.workers.values().map(row).collect()
+    }
+
+    /// Returns whether the running counts equal the claims. Tests call this after each step.
+    pub fn is_conserved(&self) -> bool {
+        let mut slots: BTreeMap<&UpstreamName, (u32, u32)> = BTreeMap::new();
+        for held in self.claims.values() {
+            let runner = slots.entry(&held.claim.runner).or_default();
+            runner.0 += 1;
+            runner.1 += held.claim.pieces.0;
+            if let (Some(name), ClaimPhase::Prefill) = (&held.claim.prefill, held.claim.phase) {
+                slots.entry(name).or_default().0 += 1;
+            }
+        }
+        self.workers.iter().all(|(name, worker)| {
+            let (count, pieces) = slots.get(name).copied().unwrap_or_default();
+            worker.slots == count && worker.pieces == pieces
+        })
+    }
+
+    fn runners(&self) -> impl Iterator<Item = &PoolWorker> {
+        self.workers.values().filter(|worker| worker.spec.role != UpstreamRole::Prefill)
+    }
+
+    fn choose_runner(&self, now: Instant, ask: &AskMessage, pieces: Pieces) -> Option<&PoolWorker> {
+        let candidates = self.runners().filter(|worker| {
+            worker.is_usable(now)
+                && worker.has_room(pieces)
+                && !ask.avoid.contains(&worker.spec.name)
+                && !(ask.suspect && worker.suspects > 0)
+        });
+        // A suspect goes where the fewest others run; all else spreads transfers, then load.
+        candidates.min_by_key(|worker| {
+            let others = if ask.suspect { worker.slots } else { 0 };
+            (others, worker.transfers, worker.load())
+        })
+    }
+
+    fn choose_prefill(
+        &self,
+        now: Instant,
+        ask: &AskMessage,
+        prefixes: &PrefixMemory,
+    ) -> Option<&PoolWorker> {
+        let candidates = self.workers.values().filter(|worker| {
+            worker.spec.role == UpstreamRole::Prefill
+                && worker.is_usable(now)
+                && worker.slots < worker.spec.slots.0
+                && !ask.avoid.contains(&worker.spec.name)
+        });
+        candidates.min_by_key(|worker| {
+            let hits = prefixes.hits(&ask.prefix, &worker.spec.name);
+            (std::cmp::Reverse(hits), worker.load())
+        })
+    }
+
+    fn count(&mut self, claim: &SlotClaim, add: bool) {
+        let step = |value: &mut u32, by: u32| {
+            *value = if add { *value + by } else { value.saturating_sub(by) };
+        };
+        step(self.held.entry(claim.account.clone()).or_default(), 1);
+        if self.held.get(&claim.account) == Some(&0) {
+            self.held.remove(&claim.account);
+        }
+        if let Some(runner) = self.workers.get_mut(&claim.runner) {
+            step(&mut runner.slots, 1);
+            step(&mut runner.pieces, claim.pieces.0);
+            step(&mut runner.suspects, u32::from(claim.suspect));
+            step(&mut runner.transfers, u32::from(claim.phase != ClaimPhase::Run));
+        }
+        if claim.phase == ClaimPhase::Prefill {
+            let name = claim.prefill.as_ref();
+            if let Some(prefill) = name.and_then(|name| self.workers.get_mut(name)) {
+                step(&mut prefill.slots, 1);
+            }
+        }
+    }
+
+    fn recount(&mut self) {
+        for worker in self.workers.values_mut() {
+            (worker.slots, worker.pieces, worker.suspects, worker.transfers) = (0, 0, 0, 0);
+        }
+        self.held.clear();
+        let claims: Vec<_> = self.claims.values().map(|held| held.claim.clone()).collect();
+        claims.iter().for_each(|claim| self.count(claim, true));
+    }
+
+    /// Returns the entries that hold anything.
+    pub fn entries(&self) -> BTreeSet<DaemonId> {
+        self.claims.keys().map(|attempt| attempt.request.entry.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/queue.rs
@@ -0,0 +1,154 @@
+//! The asks that wait, fair between accounts and ordered by deadline within one.
+
+use crate::coordination::messages::AskMessage;
+use crate::prelude::*;
+use crate::state::fleet::AccountGrant;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Scales held slots over a share into an ordered integer.
+const USAGE_SCALE: f64 = 1_000_000.0;
+/// The weight of an account with no share; it runs only when nobody else wants to.
+const MIN_SHARE: f64 = 0.000_001;
+
+/// An ask that waits for upstreams.
+#[derive(Clone, Debug)]
+pub struct WaitingAsk {
+    /// What is asked.
+    pub ask: AskMessage,
+    /// Who asked.
+    pub from: DaemonId,
+    /// The last moment at which a start can still meet the target.
+    pub latest_start: Instant,
+}
+
+/// Orders the asks of one account.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct OrderKey {
+    fresh: (bool, bool),
+    latest_start: Instant,
+    sequence: u64,
+}
+
+#[derive(Debug, Default)]
+struct AccountQueue {
+    held: u32,
+    share: f64,
+    waiting: BTreeMap<OrderKey, WaitingAsk>,
+}
+
+impl AccountQueue {
+    fn usage(&self) -> u64 {
+        (f64::from(self.held) / self.share.max(MIN_SHARE) * USAGE_SCALE) as u64
+    }
+}
+
+/// All waiting asks of one shard. Every step costs the logarithm of the number waiting.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    accounts: BTreeMap<AccountName, AccountQueue>,
+    expiry: BTreeSet<(Instant, AttemptId)>,
+    index: BTreeMap<AttemptId, (AccountName, OrderKey)>,
+    ready: BTreeSet<(u64, AccountName)>,
+    sequence: u64,
+}
+
+impl FairQueue {
+    /// Adds an ask.
+    pub fn push(&mut self, waiting: WaitingAsk, grant: &AccountGrant) {
+        self.sequence += 1;
+        let key = OrderKey {
+            fresh: (!waiting.ask.resuming, !waiting.ask.returning),
+            latest_start: waiting.latest_start,
+            sequence: self.sequence,
+        };
+        let name = waiting.ask.account.clone();
+        let attempt = waiting.ask.attempt.clone();
+        self.expiry.insert((waiting.latest_start, attempt.clone()));
+        self.index.insert(attempt, (name.clone(), key));
+        self.update(&name, |queue| {
+            queue.share = grant.share;
+            queue.waiting.insert(key, waiting);
+        });
+    }
+
+    /// Takes an ask out.
+    pub fn remove(&mut self, attempt: &AttemptId) -> Option<WaitingAsk> {
+        let (name, key) = self.index.remove(attempt)?;
+        let mut removed = None;
+        self.update(&name, |queue| removed = queue.waiting.remove(&key));
+        if let Some(waiting) = &removed {
+            self.expiry.remove(&(waiting.latest_start, attempt.clone()));
+        }
+        removed
+    }
+
+    /// Returns whether an ask waits here.
+    pub fn contains(&self, attempt: &AttemptId) -> bool {
+        self.index.contains_key(attempt)
+    }
+
+    /// Returns the first ask of each of the accounts that are furthest below their shares.
+    pub fn heads(&self, most: usize) -> Vec<WaitingAsk> {
+        let names = self.ready.iter().take(most).map(|(_, name)| name);
+        names.filter_map(|name| self.accounts[name].waiting.values().next().cloned()).collect()
+    }
+
+    /// Takes out one ask whose last moment has passed.
+    pub fn pop_expired(&mut self, now: Instant) -> Option<WaitingAsk> {
+        let (latest, attempt) = self.expiry.first()?;
+        if *latest > now {
+            return None;
+        }
+        let attempt = attempt.clone();
+        self.remove(&attempt)
+    }
+
+    /// Returns when the next ask expires.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.expiry.first().map(|(latest, _)| *latest)
+    }
+
+    /// Notes that an account holds more or fewer slots.
+    pub fn set_held(&mut self, name: &AccountName, held: u32) {
+        self.update(name, |queue| queue.held = held);
+    }
+
+    /// Returns how many asks of an account wait.
+    pub fn waiting_of(&self, name: &AccountName) -> usize {
+        self.accounts.get(name).map_or(0, |queue| queue.waiting.len())
+    }
+
+    /// Returns how many slots an account holds.
+    pub fn held_of(&self, name: &AccountName) -> u32 {
+        self.accounts.get(name).map_or(0, |queue| queue.held)
+    }
+
+    /// Returns the part of the capacity that an account gets beside the others that wait now.
+    pub fn fraction_of(&self, name: &AccountName, share: f64) -> f64 {
+        let own = share.max(MIN_SHARE);
+        let others = self.ready.iter().filter(|(_, other)| other != name);
+        let sum: f64 = others.map(|(_, other)| self.accounts[other].share.max(MIN_SHARE)).sum();
+        own / (own + sum)
+    }
+
+    /// Returns how many asks wait.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Drops every waiting ask; the entries will ask the next owner.
+    pub fn clear(&mut self) {
+        *self = Self { sequence: self.sequence, ..Self::default() };
+    }
+
+    fn update(&mut self, name: &AccountName, change: impl FnOnce(&mut AccountQueue)) {
+        let queue = self.accounts.entry(name.clone()).or_default();
+        self.ready.remove(&(queue.usage(), name.clone()));
+        change(queue);
+        if !queue.waiting.is_empty() {
+            self.ready.insert((queue.usage(), name.clone()));
+        } else if queue.held == 0 {
+            self.accounts.remove(name);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/store.rs
@@ -0,0 +1,258 @@
+//! The platform's key-value service, as this system uses it.
+//!
+//! The service is run by the platform; this project keeps no store of its own. Its answers may be
+//! lost after a write took effect, so a write's error says whether that is possible.
+
+use crate::prelude::*;
+use crate::state::fleet::{DocumentName, StoredDocument};
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// The version of a stored value; it changes with every write.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StoreVersion(pub u64);
+
+/// A stored value with its version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredValue {
+    /// The content.
+    pub bytes: Vec<u8>,
+    /// Where a later watch goes on.
+    pub index: StoreVersion,
+    /// The version, for comparison on the next write.
+    pub version: StoreVersion,
+}
+
+/// Why a call to the store gave no answer.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum StoreError {
+    /// The call had no effect.
+    #[error("the platform store cannot be reached: {0}")]
+    Unreachable(String),
+    /// A write may have taken effect.
+    #[error("the platform store gave no answer, a write may have taken effect: {0}")]
+    Unknown(String),
+    /// The stored content is not what this system writes.
+    #[error("the platform store holds invalid content: {0}")]
+    Invalid(String),
+}
+
+/// The calls that this system makes.
+pub trait KeyStore: Send + Sync {
+    /// Reads a value.
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>>;
+
+    /// Writes a value if the stored version is still `expected`; zero means absent. Returns
+    /// whether it was written.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        bytes: Vec<u8>,
+        expected: StoreVersion,
+    ) -> BoxFuture<'a, Result<bool, StoreError>>;
+
+    /// Removes a value; used only for what nothing refers to any more.
+    fn remove<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Waits until something came after the index `seen` or `wait` has passed, and reads it.
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        seen: StoreVersion,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>>;
+}
+
+/// The key of the document that names the current revision.
+pub const HEAD_KEY: &str = "apricotrun/head";
+
+/// Returns the key of one document as one edit wrote it; such a key is written once.
+pub fn document_key(name: &DocumentName, place: &DocumentPlace) -> String {
+    format!("apricotrun/doc/{name}@{}-{}", place.revision, place.edit)
+}
+
+/// Returns the key that binds a caller's idempotency key to a ticket.
+pub fn binding_key(account: &AccountName, key: &str) -> String {
+    let digest = Fingerprint::of(&[account.as_str().as_bytes(), key.as_bytes()]);
+    format!("apricotrun/key/{digest}")
+}
+
+/// Where a document's current text stands.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DocumentPlace {
+    /// The edit that wrote it.
+    pub edit: String,
+    /// The revision that it brought.
+    pub revision: Revision,
+}
+
+/// A document as it is stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DocumentValue {
+    /// Who wrote it, as the author's tool says.
+    pub author: String,
+    /// The place of the text that it replaced.
+    pub parent: Option<DocumentPlace>,
+    /// The TOML text; empty for a removed document.
+    pub text: String,
+}
+
+/// Names the current revision and where each document stands.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigHead {
+    /// The place of each document.
+    pub documents: BTreeMap<DocumentName, DocumentPlace>,
+    /// The current revision.
+    pub revision: Revision,
+}
+
+/// Reads the head; an absent one is the empty head.
+///
+/// # Errors
+///
+/// Returns an error when the store gives no answer or its content is invalid.
+pub async fn read_head(store: &dyn KeyStore) -> Result<(ConfigHead, StoreVersion), StoreError> {
+    parse_head(store.get(HEAD_KEY).await?)
+}
+
+/// Reads a head out of a stored value; an absent one is the empty head.
+///
+/// # Errors
+///
+/// Returns an error when the content is not a head.
+pub fn parse_head(value: Option<StoredValue>) -> Result<(ConfigHead, StoreVersion), StoreError> {
+    let Some(value) = value else {
+        return Ok((ConfigHead::default(), StoreVersion(0)));
+    };
+    Ok((parse_json(HEAD_KEY, &value.bytes)?, value.version))
+}
+
+/// Reads one document at a place.
+///
+/// # Errors
+///
+/// Returns an error when the store gives no answer, or lacks the document or holds nonsense.
+pub async fn read_document(
+    store: &dyn KeyStore,
+    name: &DocumentName,
+    place: &DocumentPlace,
+) -> Result<DocumentValue, StoreError> {
+    let key = document_key(name, place);
+    let value = store.get(&key).await?;
+    let value = value.ok_or_else(|| StoreError::Invalid(format!("{key} is missing")))?;
+    parse_json(&key, &value.bytes)
+}
+
+/// Reads the documents of a head that came after `since`.
+///
+/// # Errors
+///
+/// Returns an error when the store gives no answer or lacks a document that the head names.
+pub async fn read_documents(
+    store: &dyn KeyStore,
+    head: &ConfigHead,
+    since: Revision,
+) -> Result<BTreeMap<DocumentName, StoredDocument>, StoreError> {
+    let mut documents = BTreeMap::new();
+    for (name, place) in head.documents.iter().filter(|(_, place)| place.revision > since) {
+        let text = read_document(store, name, place).await?.text;
+        documents.insert(name.clone(), StoredDocument { revision: place.revision, text });
+    }
+    Ok(documents)
+}
+
+fn parse_json<T: for<'de> Deserialize<'de>>(key: &str, bytes: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(bytes).map_err(|error| StoreError::Invalid(format!("{key}: {error}")))
+}
+
+/// A change of one document.
+#[derive(Clone, Debug)]
+pub struct DocumentEdit {
+    /// Who makes it.
+    pub author: String,
+    /// The revision of the document that the author read; zero for a new one.
+    pub base: Revision,
+    /// A random id, which settles whether the edit took effect when an answer is lost.
+    pub id: String,
+    /// A revision that some daemon already has; the edit's revision is higher.
+    pub floor: Revision,
+    /// Which document.
+    pub name: DocumentName,
+    /// The new text; empty to remove the document.
+    pub text: String,
+}
+
+/// How an edit of the configuration ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EditOutcome {
+    /// The edit took effect at this revision.
+    Accepted(Revision),
+    /// The document had changed since the author read it; this is its revision now.
+    Conflict(Revision),
+}
+
+/// Puts one document in place, if it is still at the revision that its author read.
+///
+/// Edits of different documents do not disturb each other: the head is read again and the write
+/// repeated. A lost answer is settled the same way: the head names the edit once it took effect,
+/// and a write that lands late fails its comparison.
+///
+/// # Errors
+///
+/// Returns [`StoreError::Unknown`] when a write may have taken effect and the head cannot be read
+/// back, and other errors when nothing was changed.
+pub async fn put_document(
+    store: &dyn KeyStore,
+    edit: &DocumentEdit,
+) -> Result<EditOutcome, StoreError> {
+    let mut unsettled = false;
+    loop {
+        let (mut head, version) = match read_head(store).await {
+            Err(error) if unsettled => return Err(StoreError::Unknown(error.to_string())),
+            other => other?,
+        };
+        let parent = head.documents.get(&edit.name).cloned();
+        if let Some(place) = parent.as_ref().filter(|place| place.edit == edit.id) {
+            return Ok(EditOutcome::Accepted(place.revision));
+        }
+        let current = parent.as_ref().map(|place| place.revision).unwrap_or_default();
+        if current != edit.base {
+            return Ok(EditOutcome::Conflict(current));
+        }
+        let revision = Revision(head.revision.max(edit.floor).0 + 1);
+        let place = DocumentPlace { edit: edit.id.clone(), revision };
+        write_document(store, edit, &place, parent).await?;
+        head.revision = revision;
+        head.documents.insert(edit.name.clone(), place);
+        let bytes = serde_json::to_vec(&head).map_err(|e| StoreError::Invalid(e.to_string()))?;
+        match store.put(HEAD_KEY, bytes, version).await {
+            Ok(true) => return Ok(EditOutcome::Accepted(revision)),
+            Ok(false) => {}
+            Err(StoreError::Unknown(_)) => unsettled = true,
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Writes the text under a key of the edit's own, so that no other author can have written it and
+/// an answer that was lost does not matter.
+async fn write_document(
+    store: &dyn KeyStore,
+    edit: &DocumentEdit,
+    place: &DocumentPlace,
+    parent: Option<DocumentPlace>,
+) -> Result<(), StoreError> {
+    let key = document_key(&edit.name, place);
+    let value = DocumentValue { author: edit.author.clone(), parent, text: edit.text.clone() };
+    let bytes = serde_json::to_vec(&value).map_err(|e| StoreError::Invalid(e.to_string()))?;
+    match store.put(&key, bytes, StoreVersion(0)).await {
+        Ok(_) => Ok(()),
+        Err(StoreError::Unknown(reason)) => match store.get(&key).await? {
+            Some(_) => Ok(()),
+            None => Err(StoreError::Unreachable(reason)),
+        },
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module uses.
+
+pub use crate::state::clock::{Clock, SystemClock};
+pub use crate::state::fleet::{FleetConfig, ServiceTemplate, UpstreamRole, UpstreamSpec};
+pub use crate::state::ids::{
+    AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, RequestId,
+    Revision, ServiceName, UpstreamName,
+};
+pub use crate::state::units::{Pieces, Slots, TokenRate, Tokens};
+pub use crate::state::verdict::{Refusal, RefusalReason, Verdict};
+pub use std::time::{Duration, Instant};
--- /dev/null
+++ b/src/state/ids.rs
@@ -0,0 +1,272 @@
+//! Names and identifiers, each a type of its own.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// The longest accepted name, in bytes; every message that carries names is bounded by it.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Says what is wrong with a name or identifier.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{kind} {value:?} is invalid: {allowed}")]
+pub struct IdError {
+    /// What kind of identifier was read.
+    pub kind: &'static str,
+    /// The text that was read.
+    pub value: String,
+    /// What would have been accepted.
+    pub allowed: &'static str,
+}
+
+fn check_name(kind: &'static str, text: &str) -> Result<(), IdError> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+    if !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(plain) {
+        return Ok(());
+    }
+    Err(IdError {
+        kind,
+        value: text.to_owned(),
+        allowed: "1 to 64 letters, digits, '-' or '_' are allowed",
+    })
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_name($kind, text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+    };
+}
+
+name_id!(
+    /// The name of a client account.
+    AccountName, "client account"
+);
+name_id!(
+    /// The name of a failure domain.
+    DomainName, "failure domain"
+);
+name_id!(
+    /// The name of an entry host.
+    HostName, "host"
+);
+name_id!(
+    /// The name of a service, which one template describes.
+    ServiceName, "service"
+);
+name_id!(
+    /// The name of an upstream.
+    UpstreamName, "upstream"
+);
+
+/// Distinguishes the lives of one host's daemon: the start time in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_hex("incarnation", text).map(Self)
+    }
+}
+
+/// One life of one daemon.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct DaemonId {
+    /// The host that it runs on.
+    pub host: HostName,
+    /// Which life of the host's daemon it is.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for DaemonId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.host, self.incarnation)
+    }
+}
+
+impl FromStr for DaemonId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (host, incarnation) = split_id("daemon", text)?;
+        Ok(Self { host: host.parse()?, incarnation: incarnation.parse()? })
+    }
+}
+
+/// One request, numbered by the entry daemon that accepted it.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestId {
+    /// The daemon that owns the request.
+    pub entry: DaemonId,
+    /// The request's number at that daemon.
+    pub sequence: u64,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}", self.entry, self.sequence)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (entry, sequence) = split_id("request", text)?;
+        Ok(Self { entry: entry.parse()?, sequence: parse_hex("request", sequence)? })
+    }
+}
+
+/// One attempt to run a request; upstreams see it as the request's id.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// Counts the attempts of the request from 1.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.request, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (request, attempt) = split_id("attempt", text)?;
+        let attempt = attempt.parse().map_err(|_| id_error("attempt", text))?;
+        Ok(Self { request: request.parse()?, attempt })
+    }
+}
+
+fn id_error(kind: &'static str, text: &str) -> IdError {
+    IdError {
+        kind,
+        value: text.to_owned(),
+        allowed: "host, incarnation and numbers joined by '.' are allowed",
+    }
+}
+
+fn split_id<'a>(kind: &'static str, text: &'a str) -> Result<(&'a str, &'a str), IdError> {
+    text.rsplit_once('.').ok_or_else(|| id_error(kind, text))
+}
+
+fn parse_hex(kind: &'static str, text: &str) -> Result<u64, IdError> {
+    u64::from_str_radix(text, 16).map_err(|_| id_error(kind, text))
+}
+
+/// The number of a configuration state; it only grows.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A digest of a request body, equal for equal bodies of one service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl Fingerprint {
+    /// Digests the parts of a request in order.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(bytes)
+    }
+
+    /// Returns the first half as a number, for hashing and ordering.
+    pub fn low(&self) -> u64 {
+        let mut half = [0; 8];
+        half.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(half)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let wide = u128::from_str_radix(text, 16);
+        match wide {
+            Ok(wide) if text.len() == 32 => Ok(Self(wide.to_be_bytes())),
+            _ => Err(IdError {
+                kind: "fingerprint",
+                value: text.to_owned(),
+                allowed: "32 hexadecimal digits are allowed",
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,7 @@
+//! Tables, identifiers, sizes and revisions. This layer sees no other layer.
+
+pub mod clock;
+pub mod fleet;
+pub mod ids;
+pub mod units;
+pub mod verdict;
--- /dev/null
+++ b/src/state/units.rs
@@ -0,0 +1,79 @@
+//! Sizes and rates as distinct types, so that tokens are never added to pieces.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::time::Duration;
+
+macro_rules! count_unit {
+    ($(#[$doc:meta])* $name:ident, $suffix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u32);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{} {}", self.0, $suffix)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.trim_end_matches($suffix).trim_end().parse().map(Self)
+            }
+        }
+    };
+}
+
+count_unit!(
+    /// A number of tokens of a prompt or an answer.
+    Tokens, "tokens"
+);
+count_unit!(
+    /// A number of pieces of engine memory.
+    Pieces, "pieces"
+);
+count_unit!(
+    /// A number of requests that an upstream runs at the same time.
+    Slots, "slots"
+);
+
+impl Tokens {
+    /// Returns the pieces of engine memory that hold this many tokens, at least one.
+    pub fn pieces(self, piece: Tokens) -> Pieces {
+        Pieces(self.0.div_ceil(piece.0.max(1)).max(1))
+    }
+}
+
+/// A processing speed in tokens a second.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct TokenRate(pub f64);
+
+impl TokenRate {
+    /// Returns how long this speed needs for `tokens`; zero when the speed is unknown.
+    pub fn time_for(self, tokens: Tokens) -> Duration {
+        if self.0 <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(f64::from(tokens.0) / self.0)
+    }
+}
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} tokens/s", self.0)
+    }
+}
+
+impl FromStr for TokenRate {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches("tokens/s").trim_end().parse().map(Self)
+    }
+}
--- /dev/null
+++ b/src/transport/consul.rs
@@ -0,0 +1,175 @@
+//! Speaks the key-value HTTP API that Consul publishes: versions, compare-and-swap and blocking
+//! reads.
+
+use crate::coordination::store::{KeyStore, StoreError, StoreVersion, StoredValue};
+use crate::prelude::*;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use reqwest::{Client, RequestBuilder, Response};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How many calls a second one daemon makes at most, on average.
+const CALLS_PER_SECOND: f64 = 20.0;
+/// How many calls may come at once.
+const CALL_BURST: f64 = 100.0;
+
+/// Lets a bounded number of calls a second through.
+#[derive(Debug)]
+struct CallBudget {
+    filled: Instant,
+    left: f64,
+}
+
+impl CallBudget {
+    fn take(&mut self, now: Instant) -> bool {
+        let gained = (now - self.filled).as_secs_f64() * CALLS_PER_SECOND;
+        self.filled = now;
+        self.left = (self.left + gained).min(CALL_BURST);
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+/// The store adapter.
+#[derive(Debug)]
+pub struct ConsulStore {
+    base: String,
+    budget: Mutex<CallBudget>,
+    client: Client,
+}
+
+impl ConsulStore {
+    /// Returns an adapter for the store at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .connect_timeout(CALL_TIMEOUT)
+            .build()?;
+        let budget = CallBudget { filled: Instant::now(), left: CALL_BURST };
+        Ok(Self { base: format!("http://{address}/v1/kv/"), budget: Mutex::new(budget), client })
+    }
+
+    fn url(&self, key: &str) -> String {
+        format!("{}{key}", self.base)
+    }
+
+    async fn send(&self, request: RequestBuilder) -> Result<Response, StoreError> {
+        let now = Instant::now();
+        if !self.budget.lock().unwrap_or_else(PoisonError::into_inner).take(now) {
+            return Err(StoreError::Unreachable("this daemon's call budget is spent".to_owned()));
+        }
+        let response = request.send().await.map_err(|error| match error.is_connect() {
+            true => StoreError::Unreachable(error.to_string()),
+            false => StoreError::Unknown(error.to_string()),
+        })?;
+        match response.status().is_server_error() {
+            true => Err(StoreError::Unknown(format!("status {}", response.status()))),
+            false => Ok(response),
+        }
+    }
+
+    async fn read(&self, request: RequestBuilder) -> Result<Option<StoredValue>, StoreError> {
+        let response = self.send(request).await.map_err(without_effect)?;
+        if response.status().as_u16() == 404 {
+            return Ok(None);
+        }
+        if !response.status().is_success() {
+            return Err(StoreError::Unreachable(format!("status {}", response.status())));
+        }
+        let index = response.headers().get("x-consul-index");
+        let index = index.and_then(|value| value.to_str().ok()?.parse().ok());
+        let index = index.ok_or_else(|| StoreError::Invalid("no X-Consul-Index".to_owned()))?;
+        let bytes = response.bytes().await;
+        let bytes = bytes.map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        parse_pairs(&bytes, StoreVersion(index)).map(Some)
+    }
+}
+
+/// A pair as the store sends it.
+#[derive(Debug, Deserialize)]
+struct KeyPair {
+    #[serde(rename = "ModifyIndex")]
+    modify_index: u64,
+    #[serde(rename = "Value")]
+    value: Option<String>,
+}
+
+fn parse_pairs(bytes: &[u8], index: StoreVersion) -> Result<StoredValue, StoreError> {
+    let invalid = |error: String| StoreError::Invalid(error);
+    let pairs: Vec<KeyPair> =
+        serde_json::from_slice(bytes).map_err(|error| invalid(error.to_string()))?;
+    let pair = pairs.into_iter().next().ok_or_else(|| invalid("an empty list".to_owned()))?;
+    let text = pair.value.unwrap_or_default();
+    let bytes = BASE64_STANDARD.decode(text).map_err(|error| invalid(error.to_string()))?;
+    Ok(StoredValue { bytes, index, version: StoreVersion(pair.modify_index) })
+}
+
+/// A read changes nothing, whatever became of its answer.
+fn without_effect(error: StoreError) -> StoreError {
+    match error {
+        StoreError::Unknown(reason) => StoreError::Unreachable(reason),
+        other => other,
+    }
+}
+
+impl KeyStore for ConsulStore {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
+        let request = self.client.get(self.url(key)).timeout(CALL_TIMEOUT);
+        self.read(request).boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        bytes: Vec<u8>,
+        expected: StoreVersion,
+    ) -> BoxFuture<'a, Result<bool, StoreError>> {
+        async move {
+            let request = self.client.put(self.url(key)).query(&[("cas", expected.0)]);
+            let response = self.send(request.body(bytes).timeout(CALL_TIMEOUT)).await?;
+            let status = response.status();
+            let text = response.text().await;
+            match text.map_err(|error| StoreError::Unknown(error.to_string()))?.trim() {
+                "true" => Ok(true),
+                "false" => Ok(false),
+                other => Err(StoreError::Unreachable(format!("status {status}: {other}"))),
+            }
+        }
+        .boxed()
+    }
+
+    fn remove<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(), StoreError>> {
+        async move {
+            let request = self.client.delete(self.url(key)).timeout(CALL_TIMEOUT);
+            self.send(request).await.map(|_| ())
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        seen: StoreVersion,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
+        let wait_text = format!("{}ms", wait.as_millis());
+        let query = [("index", seen.0.to_string()), ("wait", wait_text)];
+        let request = self.client.get(self.url(key)).query(&query).timeout(wait + CALL_TIMEOUT);
+        self.read(request).boxed()
+    }
+}
--- /dev/null
+++ b/src/transport/daemon.rs
@@ -0,0 +1,174 @@
+//! Starts a daemon, and stops it without cutting off a request.
+
+use crate::coordination::config::ConfigKeeper;
+use crate::coordination::crashes::CrashLedger;
+use crate::coordination::membership::{MemberEvent, MemberTable};
+use crate::coordination::messages::{MemberRecord, MemberState};
+use crate::coordination::tickets::TicketTable;
+use crate::prelude::*;
+use crate::transport::consul::ConsulStore;
+use crate::transport::engine::UpstreamClient;
+use crate::transport::error::{CliError, CliResult};
+use crate::transport::http;
+use crate::transport::links::{PeerLinks, serve_links};
+use crate::transport::node::{Node, lock};
+use crate::transport::requests::{ClaimTable, send_summaries};
+use crate::transport::settings::DaemonSettings;
+use crate::transport::shards::{ShardTable, tick_shards};
+use crate::transport::{gossip, logs, watcher};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rocket::config::{LogLevel, Shutdown};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, Semaphore};
+
+/// How long new requests are still taken after readiness has gone, since the balancer lags.
+const BALANCER_LAG: Duration = Duration::from_secs(2);
+/// How often a stop looks whether the last request has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// How long connections of answered requests may take to close.
+const CLOSE_SECONDS: u32 = 1;
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound or the HTTP server fails.
+pub fn run(settings: DaemonSettings) -> CliResult<()> {
+    logs::install(&settings);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let result = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    fastrace::flush();
+    result
+}
+
+async fn serve(settings: DaemonSettings) -> CliResult<()> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(|e| CliError::Server(e.to_string()))?;
+    let listener = TcpListener::bind(settings.peer).await?;
+    let node = Arc::new(build_node(settings).await?);
+    log::info!("daemon: {} in {} serves {}", node.me, node.settings.domain, node.settings.http);
+    tokio::spawn(serve_links(node.clone(), listener));
+    tokio::spawn(gossip::serve_gossip(node.clone()));
+    tokio::spawn(gossip::tick_members(node.clone()));
+    tokio::spawn(tick_shards(node.clone()));
+    tokio::spawn(send_summaries(node.clone()));
+    tokio::spawn(watcher::watch_store(node.clone()));
+    let server = http::mount(rocket::custom(http_config(&node.settings)), node.clone());
+    let server = server.manage(handle).ignite().await;
+    let server = server.map_err(|error| CliError::Server(error.to_string()))?;
+    let shutdown = server.shutdown();
+    let stopper = node.clone();
+    tokio::spawn(async move {
+        stopper.wait_for_stop().await;
+        stopper.drain().await;
+        shutdown.notify();
+    });
+    let served = server.launch().await;
+    served.map_err(|error| CliError::Server(error.to_string()))?;
+    log::info!("daemon: {} has stopped", node.me);
+    Ok(())
+}
+
+fn http_config(settings: &DaemonSettings) -> rocket::Config {
+    rocket::Config {
+        address: settings.http.ip(),
+        cli_colors: false,
+        ident: rocket::config::Ident::none(),
+        log_level: LogLevel::Off,
+        port: settings.http.port(),
+        shutdown: Shutdown {
+            ctrlc: false,
+            force: false,
+            grace: CLOSE_SECONDS,
+            mercy: CLOSE_SECONDS,
+            signals: Default::default(),
+            ..Shutdown::default()
+        },
+        ..rocket::Config::release_default()
+    }
+}
+
+async fn build_node(settings: DaemonSettings) -> CliResult<Node> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let now = clock.now();
+    let started = clock.wall().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    let incarnation = Incarnation(started.unwrap_or_default().as_millis() as u64);
+    let me = DaemonId { host: settings.host.clone(), incarnation };
+    let record = MemberRecord {
+        daemon: me.clone(),
+        domain: settings.domain.clone(),
+        http: settings.http,
+        peer: settings.peer,
+        state: MemberState::Alive,
+        version: 0,
+    };
+    let members = MemberTable::new(now, record, settings.seeds.clone(), rand::random());
+    Ok(Node {
+        blocked: Mutex::new(BTreeSet::new()),
+        claims: Mutex::new(ClaimTable::default()),
+        clock,
+        config: Mutex::new(ConfigKeeper::default()),
+        crashes: Mutex::new(CrashLedger::default()),
+        flows: Mutex::new(BTreeMap::new()),
+        gossip: UdpSocket::bind(settings.peer).await?,
+        in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
+        leaving: AtomicBool::new(false),
+        links: PeerLinks::default(),
+        members: Mutex::new(members),
+        sequence: AtomicU64::new(0),
+        shard_wake: Notify::new(),
+        shards: Mutex::new(ShardTable::new()),
+        stop_wanted: Notify::new(),
+        stopping: AtomicBool::new(false),
+        store: Arc::new(ConsulStore::new(settings.store)?),
+        tickets: Mutex::new(TicketTable::new(me.clone())),
+        tickets_taken: Notify::new(),
+        upstreams: UpstreamClient::new()?,
+        me,
+        settings,
+    })
+}
+
+impl Node {
+    async fn wait_for_stop(&self) {
+        let terminate = signal(SignalKind::terminate());
+        let interrupt = signal(SignalKind::interrupt());
+        match (terminate, interrupt) {
+            (Ok(mut terminate), Ok(mut interrupt)) => tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+                () = self.stop_wanted.notified() => {}
+            },
+            _ => self.stop_wanted.notified().await,
+        }
+    }
+
+    /// Gives up duties and readiness, finishes every request, and hands the tickets over.
+    async fn drain(self: &Arc<Self>) {
+        log::info!("daemon: {} stops after its requests in flight", self.me);
+        self.leaving.store(true, Ordering::Relaxed);
+        self.feed_members(MemberEvent::Leave);
+        self.update_roles();
+        tokio::time::sleep(BALANCER_LAG).await;
+        self.stopping.store(true, Ordering::Relaxed);
+        let started = self.clock.now();
+        while self.is_busy() && self.clock.now() < started + self.settings.drain_limit {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        if self.is_busy() {
+            log::error!("daemon: the drain limit has passed with requests in flight");
+        }
+        self.hand_over_tickets().await;
+    }
+
+    fn is_busy(&self) -> bool {
+        let in_flight = self.settings.in_flight_limit - self.in_flight.available_permits();
+        in_flight > 0 || !lock(&self.flows).is_empty() || lock(&self.tickets).is_busy()
+    }
+}
--- /dev/null
+++ b/src/transport/engine.rs
@@ -0,0 +1,319 @@
+//! Calls upstreams: prefill, decode, cancel and plain calls, by the OpenAI protocol with the
+//! extensions that vLLM publishes. See docs/PROTOCOL.md.
+
+use crate::coordination::flow::{KvHandle, UpstreamLoss};
+use crate::coordination::tickets::StoredAnswer;
+use crate::prelude::*;
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// How long connecting to an upstream may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an upstream may take to confirm a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long an upstream may take to show that it lives.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest plain answer, in bytes.
+const MAX_PLAIN_BYTES: usize = 16 * 1024 * 1024;
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EngineEvent {
+    /// A token.
+    Token {
+        /// The request id that the engine wrote.
+        marked: String,
+        /// Its place in the answer.
+        index: u32,
+        /// The text.
+        text: String,
+    },
+    /// The answer is whole and has this many tokens.
+    End(u32),
+}
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainCall {
+    /// The body.
+    pub body: Vec<u8>,
+    /// The body's media type.
+    pub content_type: Option<String>,
+    /// The method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+}
+
+/// What another entry answered to a forwarded call.
+#[derive(Clone, Debug)]
+pub struct ForwardedAnswer {
+    /// The answer.
+    pub answer: StoredAnswer,
+    /// The refusal that it is, if it is one.
+    pub refusal: Option<Refusal>,
+    /// Whether it was given before.
+    pub replayed: bool,
+}
+
+/// What every call carries besides its content.
+#[derive(Clone, Debug)]
+pub struct CallContext {
+    /// The attempt, which the upstream knows as the request's id.
+    pub attempt: AttemptId,
+    /// The trace that the call belongs to.
+    pub traceparent: Option<String>,
+}
+
+/// The HTTP clients for upstreams.
+pub struct UpstreamClient {
+    fresh: Client,
+    pooled: Client,
+}
+
+impl UpstreamClient {
+    /// Returns the clients.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a client cannot be built.
+    pub fn new() -> Result<Self, reqwest::Error> {
+        // Redirects, proxies and the library's own retries would make "at most once" untrue.
+        let builder = || {
+            Client::builder()
+                .no_proxy()
+                .redirect(reqwest::redirect::Policy::none())
+                .retry(reqwest::retry::never())
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_TIMEOUT)
+        };
+        // A pooled connection that the upstream has just closed fails after bytes have left.
+        let fresh = builder().pool_max_idle_per_host(0).build()?;
+        let pooled = builder().pool_idle_timeout(Duration::from_secs(20)).build()?;
+        Ok(Self { fresh, pooled })
+    }
+
+    /// Computes a prompt and returns where the engine keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the upstream failed.
+    pub async fn prefill(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+        context: &CallContext,
+    ) -> Result<KvHandle, UpstreamLoss> {
+        let mut body = body.clone();
+        body["max_tokens"] = json!(1);
+        body["stream"] = json!(false);
+        body["kv_transfer_params"] = json!({ "do_remote_decode": true });
+        let request = self.request(&self.pooled, address, path, context).json(&body);
+        let response = self.send(address, request).await?;
+        let answer: Value = match response.json().await {
+            Ok(answer) => answer,
+            Err(_) => return Err(self.diagnose(address).await),
+        };
+        match answer.get("kv_transfer_params") {
+            Some(handle) => Ok(KvHandle(handle.to_string())),
+            None => Err(UpstreamLoss::Broken),
+        }
+    }
+
+    /// Starts to decode and returns the answer's events.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the upstream failed before it answered.
+    pub async fn decode(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+        handle: Option<&KvHandle>,
+        from: u32,
+        context: &CallContext,
+    ) -> Result<impl Stream<Item = Result<EngineEvent, UpstreamLoss>> + use<>, UpstreamLoss> {
+        let mut body = body.clone();
+        body["stream"] = json!(true);
+        if let Some(handle) = handle {
+            body["kv_transfer_params"] = serde_json::from_str(&handle.0).unwrap_or(Value::Null);
+        }
+        if from > 0 {
+            body["continue_from"] = json!(from);
+        }
+        let request = self.request(&self.pooled, address, path, context).json(&body);
+        let response = self.send(address, request).await?;
+        let events = response.bytes_stream().eventsource();
+        Ok(events.filter_map(|event| async move {
+            match event {
+                Ok(event) => parse_event(&event.data),
+                Err(_) => Some(Err(UpstreamLoss::Broken)),
+            }
+        }))
+    }
+
+    /// Makes a plain call on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the upstream failed.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &PlainCall,
+        context: &CallContext,
+    ) -> Result<StoredAnswer, UpstreamLoss> {
+        let method = call.method.parse().map_err(|_| UpstreamLoss::NothingSent)?;
+        let url = format!("http://{address}{}", call.path);
+        let mut request = with_context(self.fresh.request(method, url), context);
+        if let Some(media) = &call.content_type {
+            request = request.header("Content-Type", media);
+        }
+        let response = self.send(address, request.body(call.body.clone())).await?;
+        let status = response.status().as_u16();
+        let media = response.headers().get("Content-Type").and_then(|value| value.to_str().ok());
+        let content_type = media.unwrap_or("application/octet-stream").to_owned();
+        match read_bounded(response).await {
+            Some(body) => Ok(StoredAnswer { body: Some(body), content_type, status }),
+            None => Err(self.diagnose(address).await),
+        }
+    }
+
+    /// Sends a call to the entry that holds its ticket; nothing when no answer came.
+    pub async fn forward(
+        &self,
+        url: &str,
+        call: &PlainCall,
+        bearer: Option<&str>,
+        ticket: &str,
+        within: Duration,
+    ) -> Option<ForwardedAnswer> {
+        let method = call.method.parse().ok()?;
+        let mut request = self
+            .fresh
+            .request(method, url)
+            .timeout(within)
+            .header("Apricotrun-Forwarded", "1")
+            .header("Apricotrun-Ticket", ticket)
+            .bearer_auth(bearer.unwrap_or_default());
+        if let Some(media) = &call.content_type {
+            request = request.header("Content-Type", media);
+        }
+        let response = request.body(call.body.clone()).send().await.ok()?;
+        read_forwarded(response).await
+    }
+
+    /// Cancels an attempt and returns whether the upstream confirmed that nothing of it is left.
+    pub async fn cancel(&self, address: SocketAddr, attempt: &AttemptId) -> bool {
+        let url = format!("http://{address}/abort_requests");
+        let body = json!({ "request_ids": [attempt.to_string()] });
+        let request = self.pooled.post(url).json(&body).timeout(CANCEL_TIMEOUT);
+        matches!(request.send().await, Ok(response) if response.status().is_success())
+    }
+
+    /// Finds out whether an upstream whose connection broke still lives.
+    pub async fn diagnose(&self, address: SocketAddr) -> UpstreamLoss {
+        let request = self.fresh.get(format!("http://{address}/health")).timeout(HEALTH_TIMEOUT);
+        match request.send().await {
+            Err(error) if error.is_connect() && !error.is_timeout() => UpstreamLoss::Died,
+            _ => UpstreamLoss::Broken,
+        }
+    }
+
+    fn request(
+        &self,
+        client: &Client,
+        address: SocketAddr,
+        path: &str,
+        context: &CallContext,
+    ) -> RequestBuilder {
+        with_context(client.post(format!("http://{address}{path}")), context)
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: RequestBuilder,
+    ) -> Result<Response, UpstreamLoss> {
+        match request.send().await {
+            Ok(response) if response.status().as_u16() == 429 => Err(UpstreamLoss::Full),
+            Ok(response) if response.status().as_u16() == 503 => Err(UpstreamLoss::Full),
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(UpstreamLoss::NothingSent),
+            Err(_) => Err(self.diagnose(address).await),
+        }
+    }
+}
+
+fn with_context(request: RequestBuilder, context: &CallContext) -> RequestBuilder {
+    let request = request.header("X-Request-Id", context.attempt.to_string());
+    match &context.traceparent {
+        Some(traceparent) => request.header("traceparent", traceparent),
+        None => request,
+    }
+}
+
+async fn read_forwarded(response: Response) -> Option<ForwardedAnswer> {
+    let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
+    let verdict: Verdict = header("Apricotrun-Verdict")?.parse().ok()?;
+    let content_type = header("Content-Type").unwrap_or_default();
+    let replayed = header("Apricotrun-Replayed").is_some();
+    let status = response.status().as_u16();
+    let body = read_bounded(response).await?;
+    let refusal = match content_type.as_str() {
+        "application/problem+json" if verdict != Verdict::Ran => {
+            Some(parse_refusal(&body, verdict)?)
+        }
+        _ => None,
+    };
+    // Status 204 marks an answer that was too large to keep.
+    let body = Some(body).filter(|_| status != 204);
+    Some(ForwardedAnswer { answer: StoredAnswer { body, content_type, status }, refusal, replayed })
+}
+
+fn parse_refusal(body: &[u8], verdict: Verdict) -> Option<Refusal> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let reason = serde_json::from_value(body["reason"].clone()).ok()?;
+    let retry_after = body["retry_after_ms"].as_u64().map(Duration::from_millis);
+    Some(Refusal { reason, retry_after, verdict })
+}
+
+async fn read_bounded(response: Response) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    let mut stream = response.bytes_stream();
+    while let Some(part) = stream.next().await {
+        body.extend_from_slice(&part.ok()?);
+        if body.len() > MAX_PLAIN_BYTES {
+            return None;
+        }
+    }
+    Some(body)
+}
+
+/// Reads one event; nothing for events that carry neither a token nor the end.
+fn parse_event(data: &str) -> Option<Result<EngineEvent, UpstreamLoss>> {
+    if data == "[DONE]" {
+        return None;
+    }
+    let Ok(value) = serde_json::from_str::<Value>(data) else {
+        return Some(Err(UpstreamLoss::Broken));
+    };
+    let choice = &value["choices"][0];
+    if !choice["finish_reason"].is_null() {
+        let total = value["usage"]["completion_tokens"].as_u64();
+        return Some(total.map(|total| EngineEvent::End(total as u32)).ok_or(UpstreamLoss::Broken));
+    }
+    let text = choice["text"].as_str().or(choice["delta"]["content"].as_str());
+    let (Some(text), Some(index)) = (text, value["token_index"].as_u64()) else {
+        return Some(Err(UpstreamLoss::Broken));
+    };
+    let id = value["id"].as_str().unwrap_or_default();
+    let id = id.strip_prefix("cmpl-").or(id.strip_prefix("chatcmpl-")).unwrap_or(id);
+    let (marked, text) = (id.to_owned(), text.to_owned());
+    Some(Ok(EngineEvent::Token { index: index as u32, marked, text }))
+}
--- /dev/null
+++ b/src/transport/error.rs
@@ -0,0 +1,64 @@
+//! The one error type of the command line and of starting a daemon.
+
+use crate::coordination::store::StoreError;
+use crate::state::fleet::DocumentError;
+use crate::state::ids::IdError;
+use std::io;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// What stopped a command.
+#[derive(Debug, Error)]
+pub enum CliError {
+    /// A document of the configuration is not valid.
+    #[error("{0}")]
+    Document(#[from] DocumentError),
+    /// The other side answered with an error.
+    #[error("{0}")]
+    Answer(String),
+    /// A name is not valid.
+    #[error("{0}")]
+    Id(#[from] IdError),
+    /// Input or output failed.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// Something was changed by somebody else in the meantime.
+    #[error("{0}")]
+    Conflict(String),
+    /// A change is not in force everywhere yet.
+    #[error("{0}")]
+    Pending(String),
+    /// A daemon could not be reached.
+    #[error("{0}; check the address and that apricotrund runs there")]
+    Http(#[from] reqwest::Error),
+    /// A setting is not valid.
+    #[error("{path}: {fault}")]
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// The key, the value and what is allowed.
+        fault: String,
+    },
+    /// The platform's store failed.
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    /// The daemon could not start or stop.
+    #[error("the HTTP server failed: {0}")]
+    Server(String),
+}
+
+impl CliError {
+    /// Returns the exit code; docs/OPERATIONS.md lists them.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Document(_) | Self::Id(_) | Self::Settings { .. } => 2,
+            Self::Conflict(_) => 3,
+            Self::Pending(_) => 4,
+            Self::Http(_) | Self::Store(_) => 5,
+            Self::Answer(_) | Self::Io(_) | Self::Server(_) => 1,
+        }
+    }
+}
+
+/// What a command returns.
+pub type CliResult<T> = Result<T, CliError>;
--- /dev/null
+++ b/src/transport/gossip.rs
@@ -0,0 +1,102 @@
+//! Carries the membership's datagrams and turns its timer.
+
+use crate::coordination::membership::{MemberAction, MemberEvent};
+use crate::coordination::messages::{GossipMessage, MemberRecord};
+use crate::prelude::*;
+use crate::protocol::codec::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
+use crate::transport::node::{Node, lock};
+use metrics::counter;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How often the membership's timer turns.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Receives datagrams until the task is dropped.
+pub async fn serve_gossip(node: Arc<Node>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let (length, from) = match node.gossip.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("member: receiving failed: {error}");
+                continue;
+            }
+        };
+        if lock(&node.blocked).contains(&from) {
+            continue;
+        }
+        match decode_datagram(&node.settings.peer_key, &buffer[..length]) {
+            Ok(message) => {
+                counter!("apricotrun_gossip_bytes_received_total").increment(length as u64);
+                node.feed_members(MemberEvent::Received(from, message));
+            }
+            Err(error) => {
+                counter!("apricotrun_peer_messages_dropped_total", "why" => "datagram")
+                    .increment(1);
+                log::debug!("member: dropped a datagram from {from}: {error}");
+            }
+        }
+    }
+}
+
+/// Turns the membership's timer until the task is dropped.
+pub async fn tick_members(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        node.feed_members(MemberEvent::Tick);
+    }
+}
+
+impl Node {
+    /// Passes an event to the membership and carries out its actions.
+    pub fn feed_members(self: &Arc<Self>, event: MemberEvent) {
+        let now = self.clock.now();
+        let actions = lock(&self.members).handle(now, event);
+        for action in actions {
+            match action {
+                MemberAction::Send(to, message) => self.send_datagram(to, &message),
+                MemberAction::Changed => self.members_changed(),
+                MemberAction::Newer(address, revision) => self.peer_has(address, revision),
+            }
+        }
+    }
+
+    fn send_datagram(&self, to: SocketAddr, message: &GossipMessage) {
+        if lock(&self.blocked).contains(&to) {
+            return;
+        }
+        match encode_datagram(&self.settings.peer_key, message) {
+            Ok(bytes) => {
+                counter!("apricotrun_gossip_bytes_sent_total").increment(bytes.len() as u64);
+                // A datagram that cannot be sent is as good as lost; probing copes with that.
+                let _ = self.gossip.try_send_to(&bytes, to);
+            }
+            Err(error) => log::warn!("member: a message could not be written: {error}"),
+        }
+    }
+
+    fn members_changed(self: &Arc<Self>) {
+        let records: Vec<MemberRecord> = lock(&self.members).others().cloned().collect();
+        for record in &records {
+            log::debug!("member: {} in {} is {:?}", record.daemon, record.domain, record.state);
+        }
+        self.update_roles();
+        self.announce_inheritance();
+        self.send_summaries();
+        self.owners_changed();
+    }
+
+    fn peer_has(self: &Arc<Self>, address: SocketAddr, revision: Revision) {
+        let daemon = {
+            let members = lock(&self.members);
+            let record = members.running().find(|record| record.peer == address);
+            record.map(|record| record.daemon.clone())
+        };
+        if let Some(daemon) = daemon {
+            self.config_has(daemon, revision);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/http/completions.rs
@@ -0,0 +1,325 @@
+//! OpenAI-style completions and chat completions, streamed and whole.
+
+use crate::coordination::flow::RequestSpec;
+use crate::prelude::*;
+use crate::transport::http::head::{AdmittedCaller, RequestHead, admit, read_body};
+use crate::transport::http::reply::{CallerReply, ProblemReply, problem_body};
+use crate::transport::node::{Node, lock};
+use crate::transport::requests::{CallerPart, UpstreamWork, start_request};
+use futures::StreamExt;
+use futures::stream::BoxStream;
+use rocket::data::Data;
+use rocket::response::stream::{ByteStream, Event, EventStream, stream};
+use rocket::serde::json::Json;
+use rocket::{Route, State, get, post, routes};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::mpsc::Receiver;
+
+/// How often a quiet answer gets a sign of life, so that a caller's going is noticed.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// The bytes that count as one token of a prompt.
+const BYTES_PER_TOKEN: u32 = 4;
+/// The longest answer of a request that names none.
+const DEFAULT_ANSWER: u64 = 256;
+/// How many leading pieces of a prompt are compared with caches.
+const MAX_PREFIX: usize = 16;
+
+/// Returns the routes.
+pub fn routes() -> Vec<Route> {
+    routes![chat, complete, models]
+}
+
+#[get("/v1/models")]
+fn models(node: &State<Arc<Node>>) -> Json<Value> {
+    let fleet = node.fleet();
+    let models = fleet.templates.values().flat_map(|template| template.models.iter());
+    let list: Vec<_> = models.map(|model| json!({ "id": model, "object": "model" })).collect();
+    Json(json!({ "object": "list", "data": list }))
+}
+
+#[post("/v1/completions", data = "<data>")]
+async fn complete(node: &State<Arc<Node>>, head: RequestHead, data: Data<'_>) -> CallerReply {
+    serve(node, head, data, AnswerShape::Text).await
+}
+
+#[post("/v1/chat/completions", data = "<data>")]
+async fn chat(node: &State<Arc<Node>>, head: RequestHead, data: Data<'_>) -> CallerReply {
+    serve(node, head, data, AnswerShape::Chat).await
+}
+
+/// How answers are written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnswerShape {
+    Chat,
+    Text,
+}
+
+impl AnswerShape {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+
+    fn id(self, request: &RequestId) -> String {
+        match self {
+            Self::Chat => format!("chatcmpl-{request}"),
+            Self::Text => format!("cmpl-{request}"),
+        }
+    }
+
+    fn chunk(self, id: &str, model: &str, text: Option<&str>) -> Value {
+        let finish = if text.is_none() { json!("stop") } else { Value::Null };
+        let (object, choice) = match self {
+            Self::Chat => {
+                let delta = text.map_or(json!({}), |text| json!({ "content": text }));
+                (
+                    "chat.completion.chunk",
+                    json!({ "index": 0, "delta": delta, "finish_reason": finish }),
+                )
+            }
+            Self::Text => {
+                let text = text.unwrap_or_default();
+                ("text_completion", json!({ "index": 0, "text": text, "finish_reason": finish }))
+            }
+        };
+        json!({ "id": id, "object": object, "model": model, "choices": [choice] })
+    }
+
+    fn whole(self, id: &str, model: &str, text: &str, prompt: Tokens, tokens: u32) -> Value {
+        let (object, choice) = match self {
+            Self::Chat => {
+                let message = json!({ "role": "assistant", "content": text });
+                (
+                    "chat.completion",
+                    json!({ "index": 0, "message": message, "finish_reason": "stop" }),
+                )
+            }
+            Self::Text => {
+                ("text_completion", json!({ "index": 0, "text": text, "finish_reason": "stop" }))
+            }
+        };
+        let usage = json!({
+            "prompt_tokens": prompt.0,
+            "completion_tokens": tokens,
+            "total_tokens": prompt.0 + tokens,
+        });
+        json!({ "id": id, "object": object, "model": model, "choices": [choice], "usage": usage })
+    }
+}
+
+/// What the writer of an answer needs to know.
+struct AnswerWriter {
+    account: AccountName,
+    id: String,
+    model: String,
+    node: Arc<Node>,
+    _permit: OwnedSemaphorePermit,
+    prompt: Tokens,
+    shape: AnswerShape,
+}
+
+async fn serve(
+    node: &Arc<Node>,
+    head: RequestHead,
+    data: Data<'_>,
+    shape: AnswerShape,
+) -> CallerReply {
+    let caller = match admit(node, &head) {
+        Ok(caller) => caller,
+        Err(refusal) => return CallerReply::Problem(ProblemReply::new(node, refusal, None)),
+    };
+    let account = caller.account.account.clone();
+    match serve_admitted(node, head, data, shape, caller).await {
+        Ok(reply) => reply,
+        Err(refusal) => CallerReply::Problem(ProblemReply::new(node, refusal, Some(&account))),
+    }
+}
+
+async fn serve_admitted(
+    node: &Arc<Node>,
+    head: RequestHead,
+    data: Data<'_>,
+    shape: AnswerShape,
+    caller: AdmittedCaller,
+) -> Result<CallerReply, Refusal> {
+    let bytes = read_body(node, data).await?;
+    let body: Value = serde_json::from_slice(&bytes).map_err(|_| bad_request())?;
+    let model = body["model"].as_str().ok_or_else(bad_request)?.to_owned();
+    let unknown = Refusal::not_run(RefusalReason::UnknownService);
+    let template = caller.fleet.template_of_model(&model).ok_or(unknown)?;
+    let account = caller.account.account.clone();
+    if !caller.account.services.contains_key(&template.service) {
+        return Err(Refusal::not_run(RefusalReason::Forbidden));
+    }
+    let prompt = prompt_text(&body, shape).ok_or_else(bad_request)?;
+    let answer = body["max_tokens"].as_u64().or(body["max_completion_tokens"].as_u64());
+    let answer = Tokens(answer.unwrap_or(DEFAULT_ANSWER).clamp(1, u64::from(u32::MAX / 4)) as u32);
+    let returning = head.is_returning(node, &account);
+    let spec = build_spec(node, template, &account, &prompt, answer, returning);
+    let writer = AnswerWriter {
+        _permit: caller.permit,
+        account,
+        id: shape.id(&spec.id),
+        model,
+        node: node.clone(),
+        prompt: spec.prompt,
+        shape,
+    };
+    let streamed = body["stream"].as_bool().unwrap_or(false);
+    let work = UpstreamWork::Tokens { body, path: shape.path().to_owned() };
+    let mut parts = start_request(node, template.service.clone(), spec, work, head.trace);
+    match parts.recv().await {
+        Some(CallerPart::Refused(refusal)) => Err(refusal),
+        None => {
+            Err(Refusal::not_run(RefusalReason::UpstreamFailed).with_verdict(Verdict::MayHaveRun))
+        }
+        Some(_) if streamed => {
+            Ok(CallerReply::Events(EventStream::from(events(writer, parts)).heartbeat(HEARTBEAT)))
+        }
+        Some(_) => Ok(CallerReply::Body(ByteStream(whole(writer, parts)))),
+    }
+}
+
+fn bad_request() -> Refusal {
+    Refusal::not_run(RefusalReason::BadRequest)
+}
+
+fn prompt_text(body: &Value, shape: AnswerShape) -> Option<String> {
+    match shape {
+        AnswerShape::Text => body["prompt"].as_str().map(str::to_owned),
+        AnswerShape::Chat => {
+            let messages = body["messages"].as_array()?;
+            let texts = messages.iter().filter_map(|message| message["content"].as_str());
+            Some(texts.collect::<Vec<_>>().join("\n"))
+        }
+    }
+}
+
+fn build_spec(
+    node: &Arc<Node>,
+    template: &ServiceTemplate,
+    account: &AccountName,
+    prompt: &str,
+    answer: Tokens,
+    returning: bool,
+) -> RequestSpec {
+    let now = node.clock.now();
+    let length = Tokens((prompt.len() as u32).div_ceil(BYTES_PER_TOKEN).max(1));
+    let service = template.service.as_str().as_bytes();
+    let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
+    RequestSpec {
+        account: account.clone(),
+        answer,
+        between_token_target: template.between_token_target.max(Duration::from_millis(1)),
+        crashes: lock(&node.crashes).count(now, &fingerprint),
+        deadline: now + template.deadline,
+        domains: node.domains_of(template),
+        fingerprint,
+        first_token_due: now + template.first_token_target,
+        id: node.next_request(),
+        link_time: template.link_tokens_per_second.time_for(length),
+        prefill_time: template.prefill_tokens_per_second.time_for(length),
+        prefix: prefix_digests(prompt, template.piece_tokens),
+        prompt: length,
+        repeatable: true,
+        returning,
+    }
+}
+
+/// Digests the leading whole pieces of a prompt, each together with all before it.
+fn prefix_digests(prompt: &str, piece: Tokens) -> Vec<u64> {
+    let size = (piece.0 * BYTES_PER_TOKEN) as usize;
+    let mut hasher = blake3::Hasher::new();
+    let pieces = prompt.as_bytes().chunks_exact(size.max(1)).take(MAX_PREFIX);
+    let digest = |piece: &[u8]| {
+        hasher.update(piece);
+        let mut half = [0; 8];
+        half.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(half)
+    };
+    pieces.map(digest).collect()
+}
+
+fn events(writer: AnswerWriter, mut parts: Receiver<CallerPart>) -> BoxStream<'static, Event> {
+    let stream = stream! {
+        while let Some(part) = parts.recv().await {
+            match part {
+                CallerPart::Text(text) => {
+                    let chunk = writer.shape.chunk(&writer.id, &writer.model, Some(&text));
+                    yield Event::data(chunk.to_string());
+                }
+                CallerPart::Finished => {
+                    let chunk = writer.shape.chunk(&writer.id, &writer.model, None);
+                    yield Event::data(chunk.to_string());
+                    yield Event::data("[DONE]");
+                    return;
+                }
+                CallerPart::Refused(refusal) => {
+                    let body = problem_body(&writer.node, &refusal, Some(&writer.account));
+                    yield Event::data(body.to_string()).event("error");
+                    return;
+                }
+                CallerPart::Answer(_) | CallerPart::Opened => {}
+            }
+        }
+    };
+    stream.boxed()
+}
+
+/// Writes white space until the answer is whole, so that a caller's going is noticed.
+fn whole(writer: AnswerWriter, mut parts: Receiver<CallerPart>) -> BoxStream<'static, Vec<u8>> {
+    let stream = stream! {
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            let part = match tokio::time::timeout(HEARTBEAT, parts.recv()).await {
+                Err(_) => {
+                    yield b" ".to_vec();
+                    continue;
+                }
+                Ok(part) => part,
+            };
+            match part {
+                Some(CallerPart::Text(part)) => {
+                    text.push_str(&part);
+                    tokens += 1;
+                }
+                Some(CallerPart::Finished) => {
+                    let AnswerWriter { shape, id, model, prompt, .. } = &writer;
+                    yield shape.whole(id, model, &text, *prompt, tokens).to_string().into_bytes();
+                    return;
+                }
+                Some(CallerPart::Refused(refusal)) => {
+                    let body = problem_body(&writer.node, &refusal, Some(&writer.account));
+                    yield body.to_string().into_bytes();
+                    return;
+                }
+                Some(CallerPart::Answer(_) | CallerPart::Opened) => {}
+                None => return,
+            }
+        }
+    };
+    stream.boxed()
+}
+
+impl Node {
+    /// Returns the failure domains in which a service has upstreams and a daemon runs, this
+    /// daemon's own first.
+    pub fn domains_of(&self, template: &ServiceTemplate) -> Vec<DomainName> {
+        let mut domains = lock(&self.members).domains();
+        domains
+            .retain(|domain| template.upstreams.iter().any(|upstream| upstream.domain == *domain));
+        let own = usize::from(domains.first() == Some(&self.settings.domain));
+        // Overflow spreads over the other failure domains.
+        let others = &mut domains[own..];
+        if !others.is_empty() {
+            let turn = self.sequence.load(std::sync::atomic::Ordering::Relaxed) as usize;
+            others.rotate_left(turn % others.len());
+        }
+        domains
+    }
+}
--- /dev/null
+++ b/src/transport/http/mod.rs
@@ -0,0 +1,26 @@
+//! What callers, operators and the platform's balancer reach by HTTP. See docs/CALLERS.md.
+
+pub mod completions;
+pub mod control;
+pub mod head;
+pub mod health;
+pub mod reply;
+pub mod services;
+pub mod trace;
+
+use crate::transport::node::Node;
+use rocket::{Build, Rocket};
+use std::sync::Arc;
+
+/// Adds the routes to a server.
+pub fn mount(server: Rocket<Build>, node: Arc<Node>) -> Rocket<Build> {
+    server
+        .manage(node)
+        .attach(trace::TraceFairing)
+        .mount("/", completions::routes())
+        .mount("/", health::routes())
+        .mount("/control", control::routes())
+        .mount("/", services::ticket_routes())
+        .mount("/services", services::routes())
+        .register("/", reply::catchers())
+}
--- /dev/null
+++ b/src/transport/http/reply.rs
@@ -0,0 +1,149 @@
+//! Answers to callers: problems (RFC 9457), whole bodies and streams.
+
+use crate::coordination::tickets::StoredAnswer;
+use crate::prelude::*;
+use crate::protocol::return_pass::issue_pass;
+use crate::transport::node::Node;
+use futures::stream::BoxStream;
+use rocket::http::{ContentType, Header, Status};
+use rocket::response::stream::{ByteStream, Event, EventStream};
+use rocket::response::{Responder, Result as RocketResult};
+use rocket::{Catcher, Request, Response, catch, catchers};
+use serde_json::{Value, json};
+use std::io::Cursor;
+
+/// What a caller gets.
+pub enum CallerReply {
+    /// A body that is written as it comes.
+    Body(ByteStream<BoxStream<'static, Vec<u8>>>),
+    /// Server-sent events.
+    Events(EventStream<BoxStream<'static, Event>>),
+    /// The answer of a plain upstream.
+    Plain(PlainReply),
+    /// A refusal.
+    Problem(ProblemReply),
+}
+
+impl<'r> Responder<'r, 'r> for CallerReply {
+    fn respond_to(self, request: &'r Request<'_>) -> RocketResult<'r> {
+        match self {
+            Self::Body(body) => (ContentType::JSON, body).respond_to(request),
+            Self::Events(events) => events.respond_to(request),
+            Self::Plain(reply) => reply.respond_to(request),
+            Self::Problem(reply) => reply.respond_to(request),
+        }
+    }
+}
+
+/// A refusal as an answer.
+pub struct ProblemReply {
+    body: Value,
+    refusal: Refusal,
+}
+
+impl ProblemReply {
+    /// Returns the answer for a refusal. With the account known, it carries a pass for the time
+    /// to come back.
+    pub fn new(node: &Node, refusal: Refusal, account: Option<&AccountName>) -> Self {
+        Self { body: problem_body(node, &refusal, account), refusal }
+    }
+}
+
+/// Returns the problem document of a refusal.
+pub fn problem_body(node: &Node, refusal: &Refusal, account: Option<&AccountName>) -> Value {
+    let message = refusal.reason.to_string();
+    let reason = serde_json::to_value(refusal.reason).unwrap_or_default();
+    let code = reason.as_str().unwrap_or_default().to_owned();
+    let mut body = json!({
+        "type": format!("urn:apricotrun:refusal:{code}"),
+        "title": message,
+        "status": refusal.reason.status(),
+        "reason": code,
+        "verdict": refusal.verdict.as_str(),
+        "error": { "message": message, "type": "apricotrun_refusal", "code": code },
+    });
+    if let Some(after) = refusal.retry_after {
+        body["retry_after_ms"] = json!(after.as_millis() as u64);
+        if let Some(account) = account {
+            let at = node.clock.wall() + after;
+            body["return_pass"] = json!(issue_pass(&node.settings.peer_key, account, at));
+        }
+    }
+    body
+}
+
+impl<'r> Responder<'r, 'static> for ProblemReply {
+    fn respond_to(self, _request: &'r Request<'_>) -> RocketResult<'static> {
+        let body = self.body.to_string();
+        let mut response = Response::build();
+        response
+            .status(Status::new(self.refusal.reason.status()))
+            .header(ContentType::new("application", "problem+json"))
+            .header(verdict_header(self.refusal.verdict))
+            .sized_body(body.len(), Cursor::new(body));
+        if let Some(after) = self.refusal.retry_after {
+            let seconds = after.as_millis().div_ceil(1000).max(1);
+            response.header(Header::new("Retry-After", seconds.to_string()));
+        }
+        if let Some(pass) = self.body["return_pass"].as_str() {
+            response.header(Header::new("Apricotrun-Return", pass.to_owned()));
+        }
+        response.ok()
+    }
+}
+
+/// A plain upstream's answer.
+pub struct PlainReply {
+    /// The answer.
+    pub answer: StoredAnswer,
+    /// Whether it was given before.
+    pub replayed: bool,
+}
+
+impl<'r> Responder<'r, 'static> for PlainReply {
+    fn respond_to(self, _request: &'r Request<'_>) -> RocketResult<'static> {
+        let mut response = Response::build();
+        response.header(verdict_header(Verdict::Ran));
+        if self.replayed {
+            response.header(Header::new("Apricotrun-Replayed", "true"));
+        }
+        response.header(Header::new("Content-Type", self.answer.content_type));
+        match self.answer.body {
+            Some(body) => {
+                response.status(Status::new(self.answer.status));
+                response.sized_body(body.len(), Cursor::new(body));
+            }
+            // The request has run and its answer was too large to keep.
+            None => {
+                response.status(Status::NoContent);
+            }
+        }
+        response.ok()
+    }
+}
+
+fn verdict_header(verdict: Verdict) -> Header<'static> {
+    Header::new("Apricotrun-Verdict", verdict.as_str())
+}
+
+/// The answers for what no route takes.
+pub fn catchers() -> Vec<Catcher> {
+    catchers![not_found, other]
+}
+
+#[catch(404)]
+fn not_found() -> (ContentType, String) {
+    problem(404, "no such resource")
+}
+
+#[catch(default)]
+fn other(status: Status, _request: &Request<'_>) -> (ContentType, String) {
+    problem(status.code, status.reason_lossy())
+}
+
+fn problem(status: u16, title: &str) -> (ContentType, String) {
+    let verdict = Verdict::NotRun.as_str();
+    let body =
+        json!({ "type": "about:blank", "title": title, "status": status, "verdict": verdict });
+    (ContentType::new("application", "problem+json"), body.to_string())
+}
--- /dev/null
+++ b/src/transport/http/services.rs
@@ -0,0 +1,256 @@
+//! Plain services behind the router, and tickets for calls that may not be repeated.
+
+use crate::coordination::flow::RequestSpec;
+use crate::coordination::messages::MemberState;
+use crate::coordination::tickets::{StoredAnswer, TicketDecision, TicketId, TicketResult};
+use crate::prelude::*;
+use crate::transport::engine::PlainCall;
+use crate::transport::http::head::{AdmittedCaller, RequestHead, admit, read_body};
+use crate::transport::http::reply::{CallerReply, PlainReply, ProblemReply};
+use crate::transport::node::{Node, lock};
+use crate::transport::requests::{CallerPart, UpstreamWork, start_request};
+use fastrace::collector::SpanContext;
+use rocket::data::Data;
+use rocket::http::Method;
+use rocket::route::{Handler, Outcome, Route};
+use rocket::serde::json::Json;
+use rocket::{Request, State, post, routes};
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+/// How long a ticket is honoured that is not bound to a service.
+const TICKET_WINDOW: Duration = Duration::from_secs(600);
+/// When to ask a ticket's home again.
+const HOME_WAIT: Duration = Duration::from_secs(2);
+
+/// Returns the routes.
+pub fn routes() -> Vec<Route> {
+    let methods = [Method::Delete, Method::Get, Method::Patch, Method::Post, Method::Put];
+    methods
+        .into_iter()
+        .map(|method| Route::new(method, "/<service>/<path..>", ServiceHandler))
+        .collect()
+}
+
+/// Returns the route that gives tickets out.
+pub fn ticket_routes() -> Vec<Route> {
+    routes![ticket]
+}
+
+#[post("/v1/tickets")]
+fn ticket(node: &State<Arc<Node>>, head: RequestHead) -> Result<Json<Value>, ProblemReply> {
+    let caller = admit(node, &head);
+    caller.map_err(|refusal| ProblemReply::new(node, refusal, None))?;
+    let ticket = node.mint_ticket(TICKET_WINDOW);
+    Ok(Json(json!({ "ticket": ticket, "expires_in_ms": TICKET_WINDOW.as_millis() as u64 })))
+}
+
+#[derive(Clone)]
+struct ServiceHandler;
+
+#[rocket::async_trait]
+impl Handler for ServiceHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let Some(node) = request.rocket().state::<Arc<Node>>() else {
+            return Outcome::Error(rocket::http::Status::InternalServerError);
+        };
+        let reply = serve(node, request, data).await;
+        Outcome::from(request, reply)
+    }
+}
+
+async fn serve(node: &Arc<Node>, request: &Request<'_>, data: Data<'_>) -> CallerReply {
+    let head = RequestHead::of(request);
+    let caller = match admit(node, &head) {
+        Ok(caller) => caller,
+        Err(refusal) => return CallerReply::Problem(ProblemReply::new(node, refusal, None)),
+    };
+    let account = caller.account.account.clone();
+    match serve_admitted(node, request, head, data, caller).await {
+        Ok(reply) => CallerReply::Plain(reply),
+        Err(refusal) => CallerReply::Problem(ProblemReply::new(node, refusal, Some(&account))),
+    }
+}
+
+/// A plain call with all that is needed to run it.
+struct PlainRequest {
+    account: AccountName,
+    call: PlainCall,
+    head: RequestHead,
+    template: Arc<ServiceTemplate>,
+}
+
+impl PlainRequest {
+    /// Digests account, service, call and body: a ticket fits only the request that it was first
+    /// used with.
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&[
+            self.account.as_str().as_bytes(),
+            self.template.service.as_str().as_bytes(),
+            self.call.method.as_bytes(),
+            self.call.path.as_bytes(),
+            &self.call.body,
+        ])
+    }
+}
+
+async fn serve_admitted(
+    node: &Arc<Node>,
+    request: &Request<'_>,
+    head: RequestHead,
+    data: Data<'_>,
+    caller: AdmittedCaller,
+) -> Result<PlainReply, Refusal> {
+    let unknown = Refusal::not_run(RefusalReason::UnknownService);
+    let name = request.routed_segment(0).and_then(|name| name.parse::<ServiceName>().ok());
+    let template = name.and_then(|name| caller.fleet.templates.get(&name).cloned());
+    let template = template.ok_or(unknown)?;
+    if !caller.account.services.contains_key(&template.service) {
+        return Err(Refusal::not_run(RefusalReason::Forbidden));
+    }
+    let path = upstream_path(request, &template.service);
+    let method = request.method().as_str().to_owned();
+    let body = read_body(node, data).await?;
+    let content_type = head.content_type.clone();
+    let plain = PlainRequest {
+        account: caller.account.account.clone(),
+        call: PlainCall { body, content_type, method, path },
+        head,
+        template,
+    };
+    if !plain.template.is_non_idempotent(&plain.call.method, &plain.call.path) {
+        let answer = run(node, &plain, true).await?;
+        return Ok(PlainReply { answer, replayed: false });
+    }
+    let ticket = find_ticket(node, &plain).await?;
+    serve_once(node, plain, ticket, caller).await
+}
+
+/// Returns the path at the upstream, with its query.
+fn upstream_path(request: &Request<'_>, service: &ServiceName) -> String {
+    let uri = request.uri().to_string();
+    let prefix = format!("/services/{service}");
+    let path = uri.strip_prefix(&prefix).unwrap_or("/");
+    if path.starts_with('/') { path.to_owned() } else { format!("/{path}") }
+}
+
+async fn find_ticket(node: &Arc<Node>, plain: &PlainRequest) -> Result<TicketId, Refusal> {
+    if let Some(text) = &plain.head.ticket {
+        let ticket = TicketId::verify(text, node.settings.peer_key.bytes());
+        return ticket.ok_or_else(|| Refusal::not_run(RefusalReason::BadTicket));
+    }
+    match &plain.head.idempotency_key {
+        Some(key) => node.bind_key(&plain.account, key, plain.template.retry_window).await,
+        None => Err(Refusal::not_run(RefusalReason::NeedsTicket)),
+    }
+}
+
+/// Runs a call at most once, whoever sends it how often.
+async fn serve_once(
+    node: &Arc<Node>,
+    plain: PlainRequest,
+    ticket: TicketId,
+    caller: AdmittedCaller,
+) -> Result<PlainReply, Refusal> {
+    let wall = node.clock.wall();
+    let decision = lock(&node.tickets).begin(wall, &ticket, plain.fingerprint());
+    match decision {
+        TicketDecision::Answer(answer) => Ok(PlainReply { answer, replayed: true }),
+        TicketDecision::Refuse(refusal) => Err(refusal),
+        TicketDecision::Forward(home) => forward(node, &plain, &ticket, &home).await,
+        TicketDecision::Run => {
+            // The result must reach the ticket's row even when the caller leaves.
+            let node = node.clone();
+            let task = tokio::spawn(async move {
+                let _permit = caller.permit;
+                run_ticket(&node, &plain, &ticket).await
+            });
+            let lost = Refusal::not_run(RefusalReason::UpstreamFailed);
+            let lost = lost.with_verdict(Verdict::MayHaveRun);
+            let answer = task.await.map_err(|_| lost)??;
+            Ok(PlainReply { answer, replayed: false })
+        }
+    }
+}
+
+async fn run_ticket(
+    node: &Arc<Node>,
+    plain: &PlainRequest,
+    ticket: &TicketId,
+) -> Result<StoredAnswer, Refusal> {
+    let outcome = run(node, plain, false).await;
+    let result = match &outcome {
+        Ok(answer) => TicketResult::Answered(answer.clone()),
+        Err(refusal) if refusal.verdict == Verdict::NotRun => TicketResult::NotRun,
+        Err(_) => TicketResult::MayHaveRun,
+    };
+    lock(&node.tickets).finish(ticket, result);
+    outcome
+}
+
+async fn run(
+    node: &Arc<Node>,
+    plain: &PlainRequest,
+    repeatable: bool,
+) -> Result<StoredAnswer, Refusal> {
+    let spec = build_spec(node, plain, repeatable);
+    let work = UpstreamWork::Plain(plain.call.clone());
+    let trace: SpanContext = plain.head.trace;
+    let mut parts = start_request(node, plain.template.service.clone(), spec, work, trace);
+    while let Some(part) = parts.recv().await {
+        match part {
+            CallerPart::Answer(answer) => return Ok(answer),
+            CallerPart::Refused(refusal) => return Err(refusal),
+            CallerPart::Finished | CallerPart::Opened | CallerPart::Text(_) => {}
+        }
+    }
+    let lost = Refusal::not_run(RefusalReason::UpstreamFailed);
+    Err(lost.with_verdict(Verdict::MayHaveRun))
+}
+
+fn build_spec(node: &Arc<Node>, plain: &PlainRequest, repeatable: bool) -> RequestSpec {
+    let now = node.clock.now();
+    let template = &plain.template;
+    let fingerprint = plain.fingerprint();
+    RequestSpec {
+        account: plain.account.clone(),
+        answer: Tokens(0),
+        between_token_target: Duration::ZERO,
+        crashes: lock(&node.crashes).count(now, &fingerprint),
+        deadline: now + template.deadline,
+        domains: node.domains_of(template),
+        fingerprint,
+        first_token_due: now + template.first_token_target,
+        id: node.next_request(),
+        link_time: Duration::ZERO,
+        prefill_time: Duration::ZERO,
+        prefix: Vec::new(),
+        prompt: Tokens(0),
+        repeatable,
+        returning: plain.head.is_returning(node, &plain.account),
+    }
+}
+
+/// Sends a call to its ticket's home, which alone may start it.
+async fn forward(
+    node: &Arc<Node>,
+    plain: &PlainRequest,
+    ticket: &TicketId,
+    home: &DaemonId,
+) -> Result<PlainReply, Refusal> {
+    let gone = Refusal::not_run(RefusalReason::TicketHomeGone).with_verdict(Verdict::MayHaveRun);
+    let record = node.find(home).filter(|record| record.state != MemberState::Dead);
+    let record = record.filter(|_| !plain.head.forwarded).ok_or(gone)?;
+    let url =
+        format!("http://{}/services/{}{}", record.http, plain.template.service, plain.call.path);
+    let signed = ticket.sign(node.settings.peer_key.bytes());
+    let answer = node
+        .upstreams
+        .forward(&url, &plain.call, plain.head.bearer.as_deref(), &signed, plain.template.deadline)
+        .await;
+    let answer = answer.ok_or(gone.after(HOME_WAIT))?;
+    match answer.refusal {
+        Some(refusal) => Err(refusal),
+        None => Ok(PlainReply { answer: answer.answer, replayed: answer.replayed }),
+    }
+}
--- /dev/null
+++ b/src/transport/links.rs
@@ -0,0 +1,167 @@
+//! Connections to other daemons: one outgoing to each that was lately spoken to.
+
+use crate::coordination::messages::PeerMessage;
+use crate::prelude::*;
+use crate::protocol::codec::{CHALLENGE_BYTES, FrameContext, MAX_FRAME_BYTES, PeerFrame};
+use crate::transport::node::{Node, lock};
+use metrics::counter;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::time::timeout;
+
+/// How many messages to one daemon may wait.
+const LINK_QUEUE: usize = 8192;
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long writing one frame may take.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a link without messages is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// How long after a failure messages to the same daemon are dropped.
+const FAILURE_REST: Duration = Duration::from_millis(100);
+
+/// The outgoing connections. Messages on one arrive in order or not at all; the decisions repeat
+/// what matters.
+#[derive(Default)]
+pub struct PeerLinks {
+    links: Mutex<BTreeMap<SocketAddr, Sender<PeerFrame>>>,
+}
+
+impl PeerLinks {
+    /// Queues a message; it is dropped when too many already wait.
+    pub fn send(&self, node: &Arc<Node>, peer: SocketAddr, to: &DaemonId, message: PeerMessage) {
+        let frame = PeerFrame { from: node.me.clone(), message, to: to.host.clone() };
+        let mut links = lock(&self.links);
+        let link = links.get(&peer).filter(|link| !link.is_closed());
+        let link = match link {
+            Some(link) => link.clone(),
+            None => {
+                let (sender, receiver) = mpsc::channel(LINK_QUEUE);
+                links.insert(peer, sender.clone());
+                tokio::spawn(run_link(node.clone(), peer, receiver));
+                sender
+            }
+        };
+        if link.try_send(frame).is_err() {
+            counter!("apricotrun_peer_messages_dropped_total", "why" => "queue").increment(1);
+        }
+    }
+}
+
+async fn run_link(node: Arc<Node>, peer: SocketAddr, mut queue: Receiver<PeerFrame>) {
+    if let Err(error) = write_link(&node, peer, &mut queue).await {
+        log::debug!("member: link to {peer} failed: {error}");
+        counter!("apricotrun_peer_links_failed_total").increment(1);
+        tokio::time::sleep(FAILURE_REST).await;
+    }
+}
+
+async fn write_link(
+    node: &Arc<Node>,
+    peer: SocketAddr,
+    queue: &mut Receiver<PeerFrame>,
+) -> io::Result<()> {
+    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await??;
+    stream.set_nodelay(true)?;
+    let mut challenge = [0; CHALLENGE_BYTES];
+    timeout(CONNECT_TIMEOUT, stream.read_exact(&mut challenge)).await??;
+    let mut context = FrameContext::new(challenge);
+    while let Ok(Some(frame)) = timeout(IDLE_LIMIT, queue.recv()).await {
+        if lock(&node.blocked).contains(&peer) {
+            continue;
+        }
+        let bytes = match context.encode(&node.settings.peer_key, &frame) {
+            Ok(bytes) => bytes,
+            Err(error) => return Err(io::Error::other(error)),
+        };
+        let length = (bytes.len() as u32).to_le_bytes();
+        counter!("apricotrun_peer_bytes_sent_total", "kind" => kind_of(&frame.message))
+            .increment(bytes.len() as u64 + 4);
+        let mut packet = length.to_vec();
+        packet.extend(bytes);
+        timeout(WRITE_TIMEOUT, stream.write_all(&packet)).await??;
+    }
+    Ok(())
+}
+
+/// Returns whether a message belongs to a caller's request or to the control of the fleet.
+fn kind_of(message: &PeerMessage) -> &'static str {
+    use crate::coordination::messages::ShardMessage::{ClaimList, Pull, Summary};
+    match message {
+        PeerMessage::Shard { message: ClaimList(_) | Pull | Summary { .. }, .. } => "control",
+        PeerMessage::Shard { .. } => "request",
+        _ => "control",
+    }
+}
+
+/// Accepts connections from other daemons until the task is dropped.
+pub async fn serve_links(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                tokio::spawn(serve_link(node.clone(), stream, from));
+            }
+            Err(error) => {
+                log::warn!("member: accepting a connection failed: {error}");
+                tokio::time::sleep(FAILURE_REST).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(node: Arc<Node>, stream: TcpStream, from: SocketAddr) {
+    if let Err(error) = read_link(&node, stream).await
+        && error.kind() != io::ErrorKind::UnexpectedEof
+    {
+        log::debug!("member: connection from {from} ended: {error}");
+    }
+}
+
+async fn read_link(node: &Arc<Node>, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let challenge: [u8; CHALLENGE_BYTES] = rand::random();
+    stream.write_all(&challenge).await?;
+    let mut context = FrameContext::new(challenge);
+    loop {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).await?;
+        let length = u32::from_le_bytes(length) as usize;
+        if length > MAX_FRAME_BYTES {
+            count_dropped("size");
+            return Err(io::Error::other("the frame is too large"));
+        }
+        let mut bytes = vec![0; length];
+        stream.read_exact(&mut bytes).await?;
+        let frame = context.decode(&node.settings.peer_key, &bytes).map_err(|error| {
+            count_dropped("codec");
+            io::Error::other(error)
+        })?;
+        counter!("apricotrun_peer_bytes_received_total", "kind" => kind_of(&frame.message))
+            .increment(length as u64 + 4);
+        if frame.to != node.settings.host {
+            count_dropped("receiver");
+            continue;
+        }
+        if !is_blocked(node, &frame.from) {
+            node.hear(frame.from, frame.message);
+        }
+    }
+}
+
+fn is_blocked(node: &Node, from: &DaemonId) -> bool {
+    let address = {
+        let members = lock(&node.members);
+        let record = members.others().find(|record| record.daemon.host == from.host);
+        record.map(|record| record.peer)
+    };
+    address.is_some_and(|address| lock(&node.blocked).contains(&address))
+}
+
+fn count_dropped(why: &'static str) {
+    counter!("apricotrun_peer_messages_dropped_total", "why" => why).increment(1);
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,17 @@
+//! Sockets, HTTP and timers. This layer feeds events to the decisions and carries out their
+//! actions; it decides nothing itself.
+
+pub mod consul;
+pub mod daemon;
+pub mod engine;
+pub mod error;
+pub mod gossip;
+pub mod http;
+pub mod links;
+pub mod logs;
+pub mod node;
+pub mod requests;
+pub mod settings;
+pub mod shards;
+pub mod tickets;
+pub mod watcher;
--- /dev/null
+++ b/src/transport/requests.rs
@@ -0,0 +1,483 @@
+//! Drives one request: feeds its flow with events and carries out the flow's actions.
+
+use crate::coordination::claims::ClaimBook;
+use crate::coordination::flow::{
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
+};
+use crate::coordination::messages::{
+    ClaimPhase, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use crate::coordination::tickets::StoredAnswer;
+use crate::prelude::*;
+use crate::transport::engine::{CallContext, EngineEvent, PlainCall};
+use crate::transport::node::{Node, lock};
+use fastrace::Span;
+use fastrace::collector::SpanContext;
+use futures::StreamExt;
+use futures::future::join_all;
+use metrics::{counter, histogram};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::mpsc::{self, Sender, UnboundedReceiver, UnboundedSender};
+use tokio::task::AbortHandle;
+
+/// How many parts of an answer may wait for a slow caller.
+const CALLER_QUEUE: usize = 256;
+/// How often an entry tries to cancel before it leaves that to the shard's owner.
+const CANCEL_TRIES: usize = 2;
+/// How often an entry tells owners and backups what it holds.
+const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+/// The longest sleep between two looks at the clock.
+const LONGEST_SLEEP: Duration = Duration::from_secs(60);
+/// How many daemons of a shard know its claims: owner and backup.
+const CLAIM_HOLDERS: usize = 2;
+
+/// The claims of this entry by shard.
+#[derive(Debug, Default)]
+pub struct ClaimTable {
+    books: BTreeMap<(ServiceName, DomainName), ClaimBook>,
+}
+
+impl ClaimTable {
+    /// Returns the message that lists the claims in one shard.
+    pub fn list(&self, service: &ServiceName, domain: &DomainName) -> ShardMessage {
+        let book = self.books.get(&(service.clone(), domain.clone()));
+        book.map_or(ShardMessage::ClaimList(Vec::new()), ClaimBook::list)
+    }
+
+    fn book(&mut self, service: &ServiceName, domain: &DomainName) -> &mut ClaimBook {
+        self.books.entry((service.clone(), domain.clone())).or_default()
+    }
+}
+
+/// What an upstream is asked to do.
+#[derive(Clone, Debug)]
+pub enum UpstreamWork {
+    /// A call that is passed on as it is.
+    Plain(PlainCall),
+    /// An answer of a model.
+    Tokens {
+        /// The request's body.
+        body: Value,
+        /// The path at the engine.
+        path: String,
+    },
+}
+
+/// What the caller gets, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerPart {
+    /// The answer of a plain upstream.
+    Answer(StoredAnswer),
+    /// The answer is whole.
+    Finished,
+    /// The request runs or waits; parts may follow.
+    Opened,
+    /// The request ended without a whole answer.
+    Refused(Refusal),
+    /// A part of the answer.
+    Text(String),
+}
+
+/// The latency targets of a request, and what became of them.
+#[derive(Debug)]
+struct LatencyRecord {
+    accepted: Instant,
+    between_target: Duration,
+    first: Option<Instant>,
+    first_target: Duration,
+    last: Option<Instant>,
+}
+
+impl LatencyRecord {
+    fn token(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    fn meets_targets(&self, tokens: u32) -> bool {
+        let (Some(first), Some(last)) = (self.first, self.last) else { return false };
+        let between = (last - first) / tokens.saturating_sub(1).max(1);
+        first - self.accepted <= self.first_target && between <= self.between_target
+    }
+}
+
+/// Starts a request and returns the parts of its answer. The parts' end being dropped means that
+/// the caller is gone.
+pub fn start_request(
+    node: &Arc<Node>,
+    service: ServiceName,
+    spec: RequestSpec,
+    work: UpstreamWork,
+    trace: SpanContext,
+) -> mpsc::Receiver<CallerPart> {
+    let (parts, receiver) = mpsc::channel(CALLER_QUEUE);
+    let (events, inbox) = mpsc::unbounded_channel();
+    let now = node.clock.now();
+    lock(&node.flows).insert(spec.id.sequence, events.clone());
+    let latency = LatencyRecord {
+        accepted: now,
+        between_target: spec.between_token_target,
+        first: None,
+        first_target: spec.first_token_due.saturating_duration_since(now),
+        last: None,
+    };
+    let sequence = spec.id.sequence;
+    let prompt = spec.prompt;
+    let driver = RequestDriver {
+        answer: Arc::new(Mutex::new(None)),
+        events,
+        flow: RequestFlow::new(now, spec),
+        hops: BTreeMap::new(),
+        latency,
+        node: node.clone(),
+        parts,
+        prefilled: false,
+        prompt,
+        service,
+        span: Span::root("request", trace),
+        task: None,
+        work: Arc::new(work),
+    };
+    let node = node.clone();
+    tokio::spawn(async move {
+        driver.run(inbox).await;
+        lock(&node.flows).remove(&sequence);
+    });
+    receiver
+}
+
+struct RequestDriver {
+    answer: Arc<Mutex<Option<StoredAnswer>>>,
+    events: UnboundedSender<FlowEvent>,
+    flow: RequestFlow,
+    hops: BTreeMap<&'static str, Span>,
+    latency: LatencyRecord,
+    node: Arc<Node>,
+    parts: Sender<CallerPart>,
+    prefilled: bool,
+    prompt: Tokens,
+    service: ServiceName,
+    span: Span,
+    task: Option<AbortHandle>,
+    work: Arc<UpstreamWork>,
+}
+
+impl RequestDriver {
+    async fn run(mut self, mut inbox: UnboundedReceiver<FlowEvent>) {
+        let mut gone = false;
+        let mut event = FlowEvent::Start;
+        loop {
+            let now = self.node.clock.now();
+            let actions = self.flow.handle(now, event);
+            for action in actions {
+                self.carry_out(action).await;
+            }
+            if self.flow.is_ended() {
+                break;
+            }
+            let now = self.node.clock.now();
+            let wake =
+                self.flow.next_wake().map_or(LONGEST_SLEEP, |at| at.saturating_duration_since(now));
+            event = tokio::select! {
+                Some(event) = inbox.recv() => event,
+                () = tokio::time::sleep(wake) => FlowEvent::Tick,
+                () = self.parts.closed(), if !gone => {
+                    gone = true;
+                    FlowEvent::CallerGone
+                }
+            };
+        }
+        self.stop_task();
+    }
+
+    async fn carry_out(&mut self, action: FlowAction) {
+        match action {
+            FlowAction::Tell(domain, message) => {
+                self.hop("ask");
+                self.node.tell_shard(&self.service, &domain, &message, 1);
+            }
+            FlowAction::Claim(domain, claim) => self.claim(&domain, claim),
+            FlowAction::Advance(domain, attempt, phase) => self.advance(&domain, attempt, phase),
+            FlowAction::Release(domain, attempt, outcome) => {
+                release(&self.node, &self.service, &domain, attempt, outcome);
+            }
+            FlowAction::Abort { domain, attempt, upstreams, outcome } => {
+                self.abort(domain, attempt, upstreams, outcome);
+            }
+            FlowAction::StartPrefill(attempt, address) => self.start_prefill(attempt, address),
+            FlowAction::StartRun { attempt, address, handle, from } => {
+                self.start_run(attempt, address, handle, from);
+            }
+            FlowAction::Open => self.pass_on(CallerPart::Opened).await,
+            FlowAction::Emit(text) => {
+                self.latency.token(self.node.clock.now());
+                self.pass_on(CallerPart::Text(text)).await;
+            }
+            FlowAction::Report(report) => {
+                let now = self.node.clock.now();
+                lock(&self.node.crashes).record(now, report.clone());
+                self.node.tell_all(None, &PeerMessage::Crash(report));
+            }
+            FlowAction::Dropped => {
+                counter!("apricotrun_foreign_tokens_dropped_total").increment(1);
+            }
+            FlowAction::Finish => self.finish().await,
+            FlowAction::Refuse(refusal) => self.refuse(refusal).await,
+        }
+    }
+
+    /// Passes a part on. A caller that neither reads nor leaves is let go at the deadline.
+    async fn pass_on(&mut self, part: CallerPart) {
+        let wake = self.flow.next_wake().unwrap_or_else(|| self.node.clock.now());
+        let patience = wake.saturating_duration_since(self.node.clock.now()) + SUMMARY_PERIOD;
+        let _ = tokio::time::timeout(patience, self.parts.send(part)).await;
+    }
+
+    fn hop(&mut self, name: &'static str) {
+        let span = Span::enter_with_parent(name, &self.span);
+        self.hops.clear();
+        self.hops.insert(name, span);
+    }
+
+    fn context(&self, attempt: &AttemptId) -> CallContext {
+        let span = self.hops.values().next().unwrap_or(&self.span);
+        let context = SpanContext::from_span(span);
+        CallContext {
+            attempt: attempt.clone(),
+            traceparent: context.map(|context| context.encode_w3c_traceparent()),
+        }
+    }
+
+    fn claim(&mut self, domain: &DomainName, claim: SlotClaim) {
+        let message = lock(&self.node.claims).book(&self.service, domain).insert(claim);
+        self.node.tell_shard(&self.service, domain, &message, CLAIM_HOLDERS);
+    }
+
+    fn advance(&mut self, domain: &DomainName, attempt: AttemptId, phase: ClaimPhase) {
+        let message = lock(&self.node.claims).book(&self.service, domain).advance(&attempt, phase);
+        if let Some(message) = message {
+            self.node.tell_shard(&self.service, domain, &message, CLAIM_HOLDERS);
+        }
+    }
+
+    fn stop_task(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+    }
+
+    fn abort(
+        &mut self,
+        domain: DomainName,
+        attempt: AttemptId,
+        upstreams: Vec<SocketAddr>,
+        outcome: ReleaseOutcome,
+    ) {
+        self.stop_task();
+        if self.prefilled && self.latency.first.is_none() {
+            let tokens = u64::from(self.prompt.0);
+            counter!("apricotrun_wasted_prefill_tokens_total").increment(tokens);
+        }
+        self.prefilled = false;
+        let plain = matches!(*self.work, UpstreamWork::Plain(_));
+        if outcome != ReleaseOutcome::Stopped || plain {
+            return release(&self.node, &self.service, &domain, attempt, outcome);
+        }
+        let (node, service) = (self.node.clone(), self.service.clone());
+        tokio::spawn(async move {
+            let confirmed = cancel_everywhere(&node, &upstreams, &attempt).await;
+            let outcome = match confirmed {
+                true => ReleaseOutcome::Stopped,
+                false => ReleaseOutcome::Unconfirmed,
+            };
+            release(&node, &service, &domain, attempt, outcome);
+        });
+    }
+
+    fn start_prefill(&mut self, attempt: AttemptId, address: SocketAddr) {
+        self.hop("prefill");
+        let context = self.context(&attempt);
+        let (node, events, work) = (self.node.clone(), self.events.clone(), self.work.clone());
+        counter!("apricotrun_prefill_tokens_total").increment(u64::from(self.prompt.0));
+        let task = tokio::spawn(async move {
+            let UpstreamWork::Tokens { body, path } = &*work else { return };
+            let event = match node.upstreams.prefill(address, path, body, &context).await {
+                Ok(handle) => FlowEvent::PrefillDone(attempt, handle),
+                Err(loss) => FlowEvent::PrefillFailed(attempt, loss),
+            };
+            let _ = events.send(event);
+        });
+        self.task = Some(task.abort_handle());
+    }
+
+    fn start_run(
+        &mut self,
+        attempt: AttemptId,
+        address: SocketAddr,
+        handle: Option<KvHandle>,
+        from: u32,
+    ) {
+        self.hop("run");
+        self.prefilled = handle.is_some();
+        let run = UpstreamRun {
+            address,
+            answer: self.answer.clone(),
+            context: self.context(&attempt),
+            events: self.events.clone(),
+            from,
+            handle,
+            node: self.node.clone(),
+            work: self.work.clone(),
+        };
+        self.task = Some(tokio::spawn(run.run()).abort_handle());
+    }
+
+    async fn finish(&mut self) {
+        let answer = lock(&self.answer).take();
+        let tokens = self.flow.tokens();
+        let service = self.service.to_string();
+        counter!("apricotrun_requests_total", "service" => service.clone(), "verdict" => "ran")
+            .increment(1);
+        if tokens > 0 && self.latency.meets_targets(tokens) {
+            counter!("apricotrun_goodput_total", "service" => service).increment(1);
+        }
+        if let Some(first) = self.latency.first {
+            histogram!("apricotrun_first_token_seconds").record(first - self.latency.accepted);
+        }
+        if let Some(answer) = answer {
+            self.pass_on(CallerPart::Answer(answer)).await;
+        }
+        self.pass_on(CallerPart::Finished).await;
+    }
+
+    async fn refuse(&mut self, refusal: Refusal) {
+        counter!(
+            "apricotrun_requests_total",
+            "service" => self.service.to_string(),
+            "verdict" => refusal.verdict.as_str()
+        )
+        .increment(1);
+        log::debug!("entry: refused a request of {}: {}", self.service, refusal.reason);
+        self.pass_on(CallerPart::Refused(refusal)).await;
+    }
+}
+
+/// One run at a decode worker or plain upstream.
+struct UpstreamRun {
+    address: SocketAddr,
+    answer: Arc<Mutex<Option<StoredAnswer>>>,
+    context: CallContext,
+    events: UnboundedSender<FlowEvent>,
+    from: u32,
+    handle: Option<KvHandle>,
+    node: Arc<Node>,
+    work: Arc<UpstreamWork>,
+}
+
+impl UpstreamRun {
+    async fn run(self) {
+        let attempt = self.context.attempt.clone();
+        let event = match &*self.work {
+            UpstreamWork::Plain(call) => self.call(call).await,
+            UpstreamWork::Tokens { body, path } => self.decode(body, path).await,
+        };
+        let _ = self.events.send(match event {
+            Ok(event) => event,
+            Err(loss) => FlowEvent::RunFailed(attempt, loss),
+        });
+    }
+
+    async fn call(&self, call: &PlainCall) -> Result<FlowEvent, UpstreamLoss> {
+        let answer = self.node.upstreams.call(self.address, call, &self.context).await?;
+        *lock(&self.answer) = Some(answer);
+        Ok(FlowEvent::CallAnswered(self.context.attempt.clone()))
+    }
+
+    async fn decode(&self, body: &Value, path: &str) -> Result<FlowEvent, UpstreamLoss> {
+        let upstreams = &self.node.upstreams;
+        let handle = self.handle.as_ref();
+        let events =
+            upstreams.decode(self.address, path, body, handle, self.from, &self.context).await?;
+        let mut events = std::pin::pin!(events);
+        while let Some(event) = events.next().await {
+            let attempt = self.context.attempt.clone();
+            match event {
+                Ok(EngineEvent::Token { marked, index, text }) => {
+                    let token = FlowEvent::Token { attempt, index, marked, text };
+                    let _ = self.events.send(token);
+                }
+                Ok(EngineEvent::End(total)) => return Ok(FlowEvent::RunEnded(attempt, total)),
+                Err(_) => break,
+            }
+        }
+        // Without an end marker the answer is not whole.
+        Err(upstreams.diagnose(self.address).await)
+    }
+}
+
+async fn cancel_everywhere(node: &Node, upstreams: &[SocketAddr], attempt: &AttemptId) -> bool {
+    let cancels = upstreams.iter().map(|address| async move {
+        for _ in 0..CANCEL_TRIES {
+            if node.upstreams.cancel(*address, attempt).await {
+                return true;
+            }
+        }
+        false
+    });
+    join_all(cancels).await.into_iter().all(|confirmed| confirmed)
+}
+
+fn release(
+    node: &Arc<Node>,
+    service: &ServiceName,
+    domain: &DomainName,
+    attempt: AttemptId,
+    outcome: ReleaseOutcome,
+) {
+    lock(&node.claims).book(service, domain).remove(&attempt);
+    node.tell_shard(service, domain, &ShardMessage::Release(attempt, outcome), CLAIM_HOLDERS);
+}
+
+/// Tells owners and backups every second what this entry holds.
+pub async fn send_summaries(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(SUMMARY_PERIOD);
+    loop {
+        interval.tick().await;
+        node.send_summaries();
+        let wall = node.clock.wall();
+        lock(&node.tickets).prune(wall);
+        node.gauge_shards();
+    }
+}
+
+impl Node {
+    /// Tells owners and backups what this entry holds. Own shards hear it even when it is
+    /// nothing, since a new owner waits for it.
+    pub fn send_summaries(self: &Arc<Self>) {
+        let domain = self.settings.domain.clone();
+        let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
+        let mut summaries: BTreeMap<_, _> = {
+            let claims = lock(&self.claims);
+            let books = claims.books.iter();
+            books.map(|(shard, book)| (shard.clone(), book.summary())).collect()
+        };
+        lock(&self.claims).books.retain(|_, book| !book.is_empty());
+        for service in services {
+            let empty = || ClaimBook::default().summary();
+            summaries.entry((service, domain.clone())).or_insert_with(empty);
+        }
+        for ((service, domain), summary) in summaries {
+            self.tell_shard(&service, &domain, &summary, CLAIM_HOLDERS);
+        }
+    }
+
+    /// Lets every waiting request ask the perhaps new owner.
+    pub fn owners_changed(&self) {
+        for sender in lock(&self.flows).values() {
+            let _ = sender.send(FlowEvent::OwnerChanged);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/settings.rs
@@ -0,0 +1,140 @@
+//! A daemon's settings, checked as a whole before anything is opened. docs/CONFIGURATION.md lists
+//! every key.
+
+use crate::prelude::*;
+use crate::protocol::codec::PeerKey;
+use crate::transport::error::{CliError, CliResult};
+use serde::Deserialize;
+use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Text for people.
+    #[default]
+    Text,
+}
+
+/// The least severe log line that is written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Also what only developers need.
+    Debug,
+    /// Only errors.
+    Error,
+    /// Also what operators may want to know.
+    #[default]
+    Info,
+    /// Also what deserves a look.
+    Warn,
+}
+
+fn default_body_limit() -> usize {
+    4 * 1024 * 1024
+}
+
+fn default_in_flight() -> usize {
+    4096
+}
+
+fn default_drain() -> Duration {
+    Duration::from_secs(900)
+}
+
+/// The settings of one daemon.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// The largest request body, in bytes.
+    #[serde(default = "default_body_limit")]
+    pub body_limit_bytes: usize,
+    /// The failure domain that this host stands in.
+    pub domain: DomainName,
+    /// How long a stop waits for requests in flight, in milliseconds.
+    #[serde(default = "default_drain", rename = "drain_limit_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain_limit: Duration,
+    /// Whether tests may drop traffic between daemons.
+    #[serde(default)]
+    pub fault_switches: bool,
+    /// This host's name.
+    pub host: HostName,
+    /// Where callers and operators are served.
+    #[serde_as(as = "DisplayFromStr")]
+    pub http: SocketAddr,
+    /// How many requests may be in flight.
+    #[serde(default = "default_in_flight")]
+    pub in_flight_limit: usize,
+    /// How log lines look.
+    #[serde(default)]
+    pub log_format: LogFormat,
+    /// The least severe log line.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// Whether spans are written to the log.
+    #[serde(default)]
+    pub log_spans: bool,
+    /// The bearer key of operators.
+    pub operator_key: String,
+    /// Where other daemons are heard, by UDP and TCP.
+    #[serde_as(as = "DisplayFromStr")]
+    pub peer: SocketAddr,
+    /// The key that all daemons share, 64 hexadecimal digits.
+    #[serde_as(as = "DisplayFromStr")]
+    pub peer_key: PeerKey,
+    /// Peer addresses of daemons to ask for the members.
+    #[serde(default)]
+    #[serde_as(as = "Vec<DisplayFromStr>")]
+    pub seeds: Vec<SocketAddr>,
+    /// The address of the platform's store.
+    #[serde_as(as = "DisplayFromStr")]
+    pub store: SocketAddr,
+}
+
+impl DaemonSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the key, the value and what is allowed.
+    pub fn read(path: &Path) -> CliResult<Self> {
+        let fail = |fault: String| CliError::Settings { path: path.to_owned(), fault };
+        let text = fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
+        let settings: Self = toml::from_str(&text).map_err(|error| fail(error.to_string()))?;
+        settings.check().map_err(fail)?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.operator_key.len() < 8 {
+            return Err("operator_key: at least 8 characters are needed".to_owned());
+        }
+        if self.in_flight_limit == 0 {
+            return Err("in_flight_limit = 0: at least 1 is needed".to_owned());
+        }
+        let bodies = 1024..=64 * 1024 * 1024;
+        if !bodies.contains(&self.body_limit_bytes) {
+            return Err(format!(
+                "body_limit_bytes = {}: 1024 to 67108864 are allowed",
+                self.body_limit_bytes
+            ));
+        }
+        for (key, address) in [("http", self.http), ("peer", self.peer), ("store", self.store)] {
+            if address.port() == 0 {
+                return Err(format!("{key} = {address}: the port must not be 0"));
+            }
+        }
+        if self.peer.ip().is_unspecified() || self.http.ip().is_unspecified() {
+            return Err("http and peer: other daemons must reach the IP number given".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/transport/shards.rs
@@ -0,0 +1,172 @@
+//! Hosts the shard ledgers of this daemon's failure domain and carries out their actions.
+
+use crate::coordination::messages::{PeerMessage, ShardMessage};
+use crate::coordination::ownership::{rank_daemons, shard_duty};
+use crate::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus};
+use crate::prelude::*;
+use crate::state::fleet::AccountGrant;
+use crate::transport::node::{Node, lock};
+use metrics::{counter, gauge};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// The longest time between two turns of the shards' timer.
+const MAX_SLEEP: Duration = Duration::from_millis(100);
+/// The shortest time between two turns.
+const MIN_SLEEP: Duration = Duration::from_millis(1);
+
+/// The ledgers by service.
+pub type ShardTable = BTreeMap<ServiceName, ShardLedger>;
+
+/// Turns the shards' timer until the task is dropped.
+pub async fn tick_shards(node: Arc<Node>) {
+    loop {
+        let now = node.clock.now();
+        let wake = {
+            let shards = lock(&node.shards);
+            shards.values().filter_map(ShardLedger::next_wake).min()
+        };
+        let sleep = wake.map_or(MAX_SLEEP, |wake| wake.saturating_duration_since(now));
+        tokio::select! {
+            () = tokio::time::sleep(sleep.clamp(MIN_SLEEP, MAX_SLEEP)) => {}
+            () = node.shard_wake.notified() => continue,
+        }
+        node.tick_all_shards();
+    }
+}
+
+impl Node {
+    /// Passes a daemon's message to a shard.
+    pub fn feed_shard(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        from: DaemonId,
+        message: ShardMessage,
+    ) {
+        let queues = matches!(message, ShardMessage::Ask(_));
+        self.handle_shard(service, ShardEvent::Message(from, message));
+        if queues {
+            self.shard_wake.notify_one();
+        }
+    }
+
+    /// Passes an event to a shard and carries out its actions.
+    pub fn handle_shard(self: &Arc<Self>, service: &ServiceName, event: ShardEvent) {
+        let now = self.clock.now();
+        let actions = match lock(&self.shards).get_mut(service) {
+            Some(ledger) => ledger.handle(now, event),
+            None => return,
+        };
+        for action in actions {
+            self.carry_out(service, action);
+        }
+    }
+
+    fn tick_all_shards(self: &Arc<Self>) {
+        let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
+        services.iter().for_each(|service| self.handle_shard(service, ShardEvent::Tick));
+    }
+
+    fn carry_out(self: &Arc<Self>, service: &ServiceName, action: ShardAction) {
+        match action {
+            ShardAction::Send(to, message) => {
+                let domain = self.settings.domain.clone();
+                let service = service.clone();
+                self.tell_daemon(&to, PeerMessage::Shard { service, domain, message });
+            }
+            ShardAction::Cancel(spec, attempt) => {
+                let node = self.clone();
+                let service = service.clone();
+                tokio::spawn(async move { node.cancel_orphan(&service, spec, attempt).await });
+            }
+        }
+    }
+
+    async fn cancel_orphan(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        spec: UpstreamSpec,
+        attempt: AttemptId,
+    ) {
+        if self.upstreams.cancel(spec.address, &attempt).await {
+            counter!("apricotrun_orphans_cancelled_total").increment(1);
+            log::info!("shard: {service}: {} confirmed the cancel of {attempt}", spec.name);
+            self.handle_shard(service, ShardEvent::CancelConfirmed(attempt, spec.name));
+        }
+    }
+
+    /// Gives every shard of this failure domain its template, and drops those without one.
+    pub fn configure_shards(self: &Arc<Self>, config: &FleetConfig) {
+        lock(&self.shards).retain(|service, _| config.templates.contains_key(service));
+        for (service, template) in &config.templates {
+            let domain = self.settings.domain.clone();
+            lock(&self.shards).entry(service.clone()).or_insert_with(|| ShardLedger::new(domain));
+            let event = ShardEvent::Configure(template.clone(), grants_for(config, service));
+            self.handle_shard(service, event);
+        }
+        self.update_roles();
+    }
+
+    /// Computes this daemon's role in every shard of its failure domain.
+    pub fn update_roles(self: &Arc<Self>) {
+        let domain = self.settings.domain.clone();
+        let (live, local, eligible) = {
+            let members = lock(&self.members);
+            let ids = |records: Vec<DaemonId>| records.into_iter().collect::<BTreeSet<_>>();
+            let live = ids(members.running().map(|record| record.daemon.clone()).collect());
+            let local = members.running().filter(|record| record.domain == domain);
+            let local = ids(local.map(|record| record.daemon.clone()).collect());
+            (live, local, ids(members.eligible(&domain).map(|r| r.daemon.clone()).collect()))
+        };
+        let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
+        for service in services {
+            let ranked = rank_daemons(&shard_duty(&service, &domain), eligible.iter());
+            let role = match ranked.iter().position(|daemon| **daemon == self.me) {
+                Some(0) => ShardRole::Owner,
+                Some(1) => ShardRole::Backup,
+                _ => ShardRole::Bystander,
+            };
+            self.note_role(&service, role);
+            let (live, local) = (live.clone(), local.clone());
+            self.handle_shard(&service, ShardEvent::Members { live, local, role });
+        }
+    }
+
+    fn note_role(&self, service: &ServiceName, role: ShardRole) {
+        let before = lock(&self.shards).get(service).map(ShardLedger::role);
+        if before != Some(role) {
+            counter!("apricotrun_owner_changes_total").increment(1);
+            log::info!("shard: {service}: this daemon is now {role:?}");
+        }
+    }
+
+    /// Returns what an operator sees of the shards for which this daemon has a duty.
+    pub fn shard_status(&self) -> BTreeMap<ServiceName, ShardStatus> {
+        let now = self.clock.now();
+        let shards = lock(&self.shards);
+        let duties = shards.iter().filter(|(_, ledger)| ledger.role() != ShardRole::Bystander);
+        duties.map(|(service, ledger)| (service.clone(), ledger.status(now))).collect()
+    }
+
+    /// Publishes the shards' gauges.
+    pub fn gauge_shards(&self) {
+        for (service, status) in self.shard_status() {
+            if status.role != ShardRole::Owner {
+                continue;
+            }
+            let service = service.to_string();
+            let slots: u32 = status.upstreams.iter().map(|upstream| upstream.slots).sum();
+            gauge!("apricotrun_slots_held", "service" => service.clone()).set(f64::from(slots));
+            gauge!("apricotrun_waiting", "service" => service).set(status.waiting as f64);
+        }
+    }
+}
+
+fn grants_for(config: &FleetConfig, service: &ServiceName) -> BTreeMap<AccountName, AccountGrant> {
+    let accounts = config.accounts.values();
+    let granted = accounts.filter_map(|account| {
+        let grant = account.services.get(service)?;
+        Some((account.account.clone(), *grant))
+    });
+    granted.collect()
+}
--- /dev/null
+++ b/src/transport/tickets.rs
@@ -0,0 +1,105 @@
+//! Tickets on the network: binding a caller's key, forwarding to a ticket's home, and handing the
+//! table to an heir.
+
+use crate::coordination::messages::PeerMessage;
+use crate::coordination::store::{StoreError, StoreVersion, binding_key};
+use crate::coordination::tickets::{TicketHandover, TicketId};
+use crate::prelude::*;
+use crate::transport::node::{Node, lock};
+use std::sync::Arc;
+
+/// How long an heir may take to confirm before it is told again.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often the one heir is told.
+const HANDOVER_TRIES: usize = 10;
+
+impl Node {
+    /// Makes a signed ticket.
+    pub fn mint_ticket(&self, window: Duration) -> String {
+        let wall = self.clock.wall();
+        let ticket = lock(&self.tickets).mint(wall, window);
+        ticket.sign(self.settings.peer_key.bytes())
+    }
+
+    /// Binds a caller's idempotency key to one ticket, for all entries and for good.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the store cannot settle it; the request was not run then, since
+    /// only the bound ticket can start it and this call starts nothing.
+    pub async fn bind_key(
+        &self,
+        account: &AccountName,
+        key: &str,
+        window: Duration,
+    ) -> Result<TicketId, Refusal> {
+        let place = binding_key(account, key);
+        let own = self.mint_ticket(window);
+        let written = self.store.put(&place, own.clone().into_bytes(), StoreVersion(0)).await;
+        let bound = match written {
+            Ok(true) => own,
+            Ok(false) | Err(StoreError::Unknown(_)) => self.read_binding(&place).await?,
+            Err(error) => return Err(store_down(&error)),
+        };
+        let ticket = TicketId::verify(&bound, self.settings.peer_key.bytes());
+        ticket.ok_or_else(|| Refusal::not_run(RefusalReason::BadTicket))
+    }
+
+    async fn read_binding(&self, place: &str) -> Result<String, Refusal> {
+        match self.store.get(place).await {
+            Ok(Some(value)) => Ok(String::from_utf8_lossy(&value.bytes).into_owned()),
+            Ok(None) => Err(store_down(&StoreError::Unreachable("the write was lost".to_owned()))),
+            Err(error) => Err(store_down(&error)),
+        }
+    }
+
+    /// Takes over the tickets of a stopping daemon and confirms it.
+    pub fn inherit_tickets(self: &Arc<Self>, from: DaemonId, handover: TicketHandover) {
+        if self.is_stopping() {
+            return;
+        }
+        log::info!("ticket: took over the tickets of {from}");
+        lock(&self.tickets).inherit(handover);
+        self.tell_daemon(&from, PeerMessage::TicketsTaken(self.me.clone()));
+        self.announce_inheritance();
+    }
+
+    /// Tells all daemons whose tickets this one answers for.
+    pub fn announce_inheritance(self: &Arc<Self>) {
+        let inherited: Vec<_> = lock(&self.tickets).inherited().cloned().collect();
+        for from in inherited {
+            let message = PeerMessage::TicketHeir { from, heir: self.me.clone() };
+            self.tell_all(None, &message);
+        }
+    }
+
+    /// Hands the tickets to exactly one heir. Nothing is started here from the first moment on;
+    /// if the heir never confirms, the requests are answered "may have run".
+    pub async fn hand_over_tickets(self: &Arc<Self>) {
+        let heir = {
+            let members = lock(&self.members);
+            let domain = self.settings.domain.clone();
+            let heir = members.eligible(&domain).find(|record| record.daemon != self.me);
+            heir.map(|record| record.daemon.clone())
+        };
+        let handover = lock(&self.tickets).hand_over();
+        let Some(heir) = heir else {
+            log::warn!("ticket: no other daemon in this failure domain takes over the tickets");
+            return;
+        };
+        for _ in 0..HANDOVER_TRIES {
+            self.tell_daemon(&heir, PeerMessage::Tickets(handover.clone()));
+            let taken = tokio::time::timeout(HANDOVER_TIMEOUT, self.tickets_taken.notified());
+            if taken.await.is_ok() {
+                log::info!("ticket: {heir} took over the tickets");
+                return;
+            }
+        }
+        log::error!("ticket: {heir} did not confirm that it took over the tickets");
+    }
+}
+
+fn store_down(error: &StoreError) -> Refusal {
+    log::warn!("store: {error}");
+    Refusal::not_run(RefusalReason::StoreDown).after(Duration::from_secs(2))
+}
--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,446 @@
+//! An engine: prefill or decode worker with slots, memory, eviction, a rate-limited link, cancel
+//! and resume. Its answers follow from the prompt, so that a test can tell a whole one.
+
+use crate::server::{KillSwitch, StandinServer};
+use rocket::http::Status;
+use rocket::response::Responder;
+use rocket::response::stream::{Event, EventStream, stream};
+use rocket::serde::json::Json;
+use rocket::{Request, State, get, post, request, routes};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::task::AbortHandle;
+
+/// The bytes that count as one token of a prompt.
+const BYTES_PER_TOKEN: usize = 4;
+/// How long a stalled step takes.
+const STALL: Duration = Duration::from_secs(3600);
+
+/// What an engine is.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// How long a computed prompt is kept that nobody fetched.
+    pub eviction: Duration,
+    /// The speed of the link into this engine, in tokens a second.
+    pub link_tokens_per_second: f64,
+    /// The speed of prefill.
+    pub prefill_tokens_per_second: f64,
+    /// How many requests run at the same time.
+    pub slots: usize,
+    /// The time between two tokens.
+    pub token_time: Duration,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            eviction: Duration::from_millis(800),
+            link_tokens_per_second: 1_000_000.0,
+            prefill_tokens_per_second: 50_000.0,
+            slots: 20,
+            token_time: Duration::from_millis(5),
+        }
+    }
+}
+
+/// What goes wrong on purpose.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// A prompt with this text ends the engine.
+    pub crash_on: Option<String>,
+    /// Runs on after its caller's connection ended.
+    pub keep_after_disconnect: bool,
+    /// Ends the connection without end marker after this many tokens.
+    pub break_after: Option<u32>,
+    /// Sends every token twice.
+    pub double_tokens: bool,
+    /// Sends a token of another request before each of its own.
+    pub foreign_tokens: bool,
+    /// Swaps each pair of tokens.
+    pub swap_tokens: bool,
+    /// Prefills never end.
+    pub stall_prefill: bool,
+    /// Transfers into this engine never end.
+    pub stall_transfer: bool,
+    /// Cancels are not answered.
+    pub deaf_to_cancel: bool,
+}
+
+/// What a test can ask an engine for.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct EngineReport {
+    /// The requests that hold a slot now.
+    pub running: BTreeSet<String>,
+    /// The most slots that were held at once.
+    pub peak: usize,
+    /// The prefills that were done.
+    pub prefills: u64,
+    /// The prefill results that were never fetched.
+    pub evicted: u64,
+    /// The starts of runs that came after their cancel.
+    pub late_starts: u64,
+    /// All requests that ever started here.
+    pub started: u64,
+}
+
+struct Running {
+    task: Option<AbortHandle>,
+}
+
+#[derive(Default)]
+struct EngineState {
+    cancelled: BTreeSet<String>,
+    faults: EngineFaults,
+    kept: BTreeMap<String, (Instant, usize)>,
+    report: EngineReport,
+    running: BTreeMap<String, Running>,
+}
+
+/// An engine.
+#[derive(Clone)]
+pub struct Engine {
+    address: SocketAddr,
+    client: reqwest::Client,
+    config: EngineConfig,
+    kill: KillSwitch,
+    link: Arc<tokio::sync::Mutex<()>>,
+    state: Arc<Mutex<EngineState>>,
+}
+
+/// Starts an engine.
+pub fn start(address: SocketAddr, config: EngineConfig) -> StandinServer {
+    let address = crate::server::with_free_port(address);
+    StandinServer::start(address, |rocket, kill| {
+        let engine = Engine {
+            address,
+            client: reqwest::Client::builder().no_proxy().build().expect("a client is built"),
+            config,
+            kill,
+            link: Arc::default(),
+            state: Arc::default(),
+        };
+        rocket
+            .manage(engine)
+            .mount("/", routes![abort, chat, complete, faults, fetch_kv, health, load, report])
+    })
+}
+
+/// Returns the text of one token of the answer to a prompt.
+pub fn token_text(prompt: &str, index: u32) -> String {
+    let mut hasher = DefaultHasher::new();
+    (prompt, index).hash(&mut hasher);
+    format!(" {:04x}", hasher.finish() & 0xffff)
+}
+
+/// Returns the whole answer to a prompt.
+pub fn expected_answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token_text(prompt, index)).collect()
+}
+
+struct AttemptHeader(String);
+
+#[rocket::async_trait]
+impl<'r> request::FromRequest<'r> for AttemptHeader {
+    type Error = Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> request::Outcome<Self, Infallible> {
+        let id = request.headers().get_one("X-Request-Id");
+        request::Outcome::Success(Self(id.unwrap_or("anonymous").to_owned()))
+    }
+}
+
+type EngineAnswer = Result<EngineReply, (Status, String)>;
+
+enum EngineReply {
+    Stream(EventStream<futures::stream::BoxStream<'static, Event>>),
+    Whole(Json<Value>),
+}
+
+impl<'r> Responder<'r, 'r> for EngineReply {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'r> {
+        match self {
+            Self::Stream(events) => events.respond_to(request),
+            Self::Whole(body) => body.respond_to(request),
+        }
+    }
+}
+
+#[post("/v1/completions", data = "<body>")]
+async fn complete(engine: &State<Engine>, id: AttemptHeader, body: Json<Value>) -> EngineAnswer {
+    let prompt = body["prompt"].as_str().unwrap_or_default().to_owned();
+    engine.serve(id.0, prompt, body.into_inner(), false).await
+}
+
+#[post("/v1/chat/completions", data = "<body>")]
+async fn chat(engine: &State<Engine>, id: AttemptHeader, body: Json<Value>) -> EngineAnswer {
+    let messages = body["messages"].as_array().cloned().unwrap_or_default();
+    let texts = messages.iter().filter_map(|message| message["content"].as_str());
+    let prompt = texts.collect::<Vec<_>>().join("\n");
+    engine.serve(id.0, prompt, body.into_inner(), true).await
+}
+
+#[post("/abort_requests", data = "<body>")]
+async fn abort(engine: &State<Engine>, body: Json<Value>) -> Status {
+    if engine.state().faults.deaf_to_cancel {
+        tokio::time::sleep(STALL).await;
+    }
+    let ids = body["request_ids"].as_array().cloned().unwrap_or_default();
+    for id in ids.iter().filter_map(Value::as_str) {
+        engine.cancel(id);
+    }
+    Status::Ok
+}
+
+#[get("/kv/<id>")]
+fn fetch_kv(engine: &State<Engine>, id: &str) -> Result<String, Status> {
+    let mut state = engine.state();
+    engine.evict(&mut state);
+    match state.kept.remove(id) {
+        Some((_, tokens)) => Ok(tokens.to_string()),
+        None => Err(Status::NotFound),
+    }
+}
+
+#[get("/health")]
+fn health() -> &'static str {
+    "ok"
+}
+
+#[get("/load")]
+fn load(engine: &State<Engine>) -> Json<Value> {
+    Json(json!({ "server_load": engine.state().running.len() }))
+}
+
+#[get("/report")]
+fn report(engine: &State<Engine>) -> Json<EngineReport> {
+    let mut state = engine.state();
+    engine.evict(&mut state);
+    let mut report = state.report.clone();
+    report.running = state.running.keys().cloned().collect();
+    Json(report)
+}
+
+#[post("/faults", data = "<faults>")]
+fn faults(engine: &State<Engine>, faults: Json<EngineFaults>) -> Status {
+    engine.state().faults = faults.into_inner();
+    Status::NoContent
+}
+
+/// Frees a slot when the work or its connection ends.
+struct SlotGuard {
+    engine: Engine,
+    id: String,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.engine.state().running.remove(&self.id);
+    }
+}
+
+/// Ends the work of a connection that is gone.
+struct DisconnectGuard {
+    engine: Engine,
+    task: AbortHandle,
+}
+
+impl Drop for DisconnectGuard {
+    fn drop(&mut self) {
+        if !self.engine.state().faults.keep_after_disconnect {
+            self.task.abort();
+        }
+    }
+}
+
+impl Engine {
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn evict(&self, state: &mut EngineState) {
+        let eviction = self.config.eviction;
+        let before = state.kept.len();
+        state.kept.retain(|_, (at, _)| at.elapsed() < eviction);
+        state.report.evicted += (before - state.kept.len()) as u64;
+    }
+
+    fn cancel(&self, id: &str) {
+        let mut state = self.state();
+        state.cancelled.insert(id.to_owned());
+        state.kept.remove(id);
+        let running = state.running.remove(id);
+        drop(state);
+        if let Some(task) = running.and_then(|running| running.task) {
+            task.abort();
+        }
+    }
+
+    fn take_slot(&self, id: &str, prompt: &str) -> Result<SlotGuard, (Status, String)> {
+        let mut state = self.state();
+        if state.cancelled.contains(id) {
+            state.report.late_starts += 1;
+            return Err((Status::Gone, "the request was cancelled".to_owned()));
+        }
+        if state.running.len() >= self.config.slots {
+            return Err((Status::TooManyRequests, "no slot is free".to_owned()));
+        }
+        if state.faults.crash_on.as_ref().is_some_and(|text| prompt.contains(text)) {
+            self.kill.kill();
+        }
+        state.running.insert(id.to_owned(), Running { task: None });
+        state.report.started += 1;
+        state.report.peak = state.report.peak.max(state.running.len());
+        Ok(SlotGuard { engine: self.clone(), id: id.to_owned() })
+    }
+
+    async fn serve(&self, id: String, prompt: String, body: Value, chat: bool) -> EngineAnswer {
+        let guard = self.take_slot(&id, &prompt)?;
+        let transfer = &body["kv_transfer_params"];
+        if transfer["do_remote_decode"] == json!(true) {
+            return self.prefill(guard, prompt).await;
+        }
+        let from = body["continue_from"].as_u64().unwrap_or(0) as u32;
+        let total = body["max_tokens"].as_u64().unwrap_or(16) as u32;
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let run = DecodeRun {
+            chat,
+            engine: self.clone(),
+            from,
+            guard,
+            id: id.clone(),
+            model: body["model"].clone(),
+            prompt,
+            sender,
+            total,
+            transfer: transfer.clone(),
+        };
+        let task = tokio::spawn(run.run()).abort_handle();
+        if let Some(running) = self.state().running.get_mut(&id) {
+            running.task = Some(task.clone());
+        }
+        let guard = DisconnectGuard { engine: self.clone(), task };
+        let events = stream! {
+            let _guard = guard;
+            while let Some(event) = receiver.recv().await {
+                yield event;
+            }
+        };
+        let events: futures::stream::BoxStream<'static, Event> = Box::pin(events);
+        Ok(EngineReply::Stream(EventStream::from(events).heartbeat(Duration::from_millis(200))))
+    }
+
+    async fn prefill(&self, guard: SlotGuard, prompt: String) -> EngineAnswer {
+        let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN).max(1);
+        if self.state().faults.stall_prefill {
+            tokio::time::sleep(STALL).await;
+        }
+        let time = tokens as f64 / self.config.prefill_tokens_per_second;
+        tokio::time::sleep(Duration::from_secs_f64(time)).await;
+        let id = guard.id.clone();
+        drop(guard);
+        let mut state = self.state();
+        if state.cancelled.contains(&id) {
+            return Err((Status::Gone, "the request was cancelled".to_owned()));
+        }
+        state.report.prefills += 1;
+        state.kept.insert(id.clone(), (Instant::now(), tokens));
+        let handle = json!({
+            "do_remote_prefill": true,
+            "remote_host": self.address.ip().to_string(),
+            "remote_port": self.address.port(),
+            "remote_request_id": id,
+        });
+        Ok(EngineReply::Whole(Json(json!({ "id": id, "kv_transfer_params": handle }))))
+    }
+}
+
+struct DecodeRun {
+    chat: bool,
+    engine: Engine,
+    from: u32,
+    guard: SlotGuard,
+    id: String,
+    model: Value,
+    prompt: String,
+    sender: UnboundedSender<Event>,
+    total: u32,
+    transfer: Value,
+}
+
+impl DecodeRun {
+    async fn run(self) {
+        if !self.transfer.is_null() && !self.fetch().await {
+            return;
+        }
+        let faults = self.engine.state().faults.clone();
+        let mut indices: Vec<u32> = (self.from..self.total).collect();
+        if faults.swap_tokens {
+            indices.chunks_mut(2).for_each(<[u32]>::reverse);
+        }
+        for (sent, index) in indices.iter().enumerate() {
+            tokio::time::sleep(self.engine.config.token_time).await;
+            let faults = self.engine.state().faults.clone();
+            if faults.break_after.is_some_and(|after| sent as u32 >= after) {
+                return;
+            }
+            if faults.foreign_tokens {
+                self.send("another-request", *index, " foreign");
+            }
+            let text = token_text(&self.prompt, *index);
+            self.send(&self.id, *index, &text);
+            if faults.double_tokens {
+                self.send(&self.id, *index, &text);
+            }
+        }
+        let end = json!({
+            "id": format!("cmpl-{}", self.id),
+            "model": self.model,
+            "choices": [{ "index": 0, "text": "", "finish_reason": "length" }],
+            "usage": { "completion_tokens": self.total },
+        });
+        let _ = self.sender.send(Event::data(end.to_string()));
+        let _ = self.sender.send(Event::data("[DONE]"));
+        drop(self.guard);
+    }
+
+    /// Brings the computed prompt over the link; returns whether it was still there.
+    async fn fetch(&self) -> bool {
+        if self.engine.state().faults.stall_transfer {
+            tokio::time::sleep(STALL).await;
+        }
+        let host = self.transfer["remote_host"].as_str().unwrap_or_default();
+        let id = self.transfer["remote_request_id"].as_str().unwrap_or_default();
+        let url = format!("http://{host}:{}/kv/{id}", self.transfer["remote_port"]);
+        let Ok(response) = self.engine.client.get(url).send().await else { return false };
+        if !response.status().is_success() {
+            return false;
+        }
+        let tokens: f64 = response.text().await.ok().and_then(|t| t.parse().ok()).unwrap_or(0.0);
+        let _link = self.engine.link.lock().await;
+        let time = tokens / self.engine.config.link_tokens_per_second;
+        tokio::time::sleep(Duration::from_secs_f64(time)).await;
+        true
+    }
+
+    fn send(&self, id: &str, index: u32, text: &str) {
+        let choice = match self.chat {
+            true => json!({ "index": 0, "delta": { "content": text }, "finish_reason": null }),
+            false => json!({ "index": 0, "text": text, "finish_reason": null }),
+        };
+        let chunk = json!({
+            "id": format!("cmpl-{id}"),
+            "model": self.model,
+            "choices": [choice],
+            "token_index": index,
+        });
+        let _ = self.sender.send(Event::data(chunk.to_string()));
+    }
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,397 @@
+//! A whole deployment on loopback: stand-ins in this process, daemons in processes of their own.
+
+use crate::engine::{self, EngineConfig};
+use crate::plain::{self, PlainService};
+use crate::server::{StandinServer, free_address};
+use crate::store::{self, Store};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The operators' key of every such deployment.
+pub const OPERATOR_KEY: &str = "operator-key-for-tests";
+/// The key that the daemons share.
+const PEER_KEY: &str = "6b657920666f7220617072696365747420746573747320616e6420747269616c";
+/// The bearer key of the first account.
+pub const DESK_KEY: &str = "desk-key";
+/// The bearer key of the second account.
+pub const FIELD_KEY: &str = "field-key";
+/// How long a deployment may take to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// The folder with apricotrund and apricotctl.
+    pub binaries: PathBuf,
+    /// The daemons of each failure domain.
+    pub daemons: usize,
+    /// The decode workers of each failure domain.
+    pub decode: usize,
+    /// The failure domains.
+    pub domains: Vec<String>,
+    /// How engines behave.
+    pub engine: EngineConfig,
+    /// The target for the first token, in milliseconds.
+    pub first_token_target_ms: u64,
+    /// How long a request may take, in milliseconds.
+    pub deadline_ms: u64,
+    /// The plain upstreams of each failure domain.
+    pub plain: usize,
+    /// The prefill workers of each failure domain.
+    pub prefill: usize,
+    /// Lines added to each daemon's settings.
+    pub settings: String,
+    /// Whether the daemons' logs go to this process's standard error.
+    pub show_logs: bool,
+}
+
+impl FleetOptions {
+    /// Returns a small deployment whose programs lie in a folder.
+    pub fn new(binaries: &Path) -> Self {
+        Self {
+            binaries: binaries.to_owned(),
+            daemons: 2,
+            decode: 2,
+            deadline_ms: 20_000,
+            domains: vec!["tyrol-a".to_owned()],
+            engine: EngineConfig::default(),
+            first_token_target_ms: 2_000,
+            plain: 2,
+            prefill: 1,
+            settings: String::new(),
+            show_logs: std::env::var_os("APRICOTRUN_SHOW_LOGS").is_some(),
+        }
+    }
+}
+
+/// Returns the folder of the programs that were built with the running one.
+pub fn own_binaries() -> PathBuf {
+    let own = std::env::current_exe().expect("the running program has a path");
+    let folder = own.parent().expect("a program lies in a folder");
+    match folder.file_name() {
+        Some(name) if name == "deps" => folder.parent().unwrap_or(folder).to_owned(),
+        _ => folder.to_owned(),
+    }
+}
+
+/// One daemon process.
+pub struct FleetDaemon {
+    child: Option<Child>,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its host name.
+    pub host: String,
+    /// Where it serves callers.
+    pub http: SocketAddr,
+    /// Where it hears other daemons.
+    pub peer: SocketAddr,
+    settings: PathBuf,
+}
+
+impl FleetDaemon {
+    /// Returns the URL of a path.
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.http)
+    }
+
+    /// Sends the process a signal by its name, such as `KILL`, `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, name: &str) {
+        let Some(child) = &self.child else { return };
+        let signal = format!("-{name}");
+        let _ = Command::new("kill").args([signal, child.id().to_string()]).status();
+    }
+
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process has ended by itself; returns whether it did, and cleanly.
+    pub fn wait(&mut self, within: Duration) -> Option<bool> {
+        let started = Instant::now();
+        while started.elapsed() < within {
+            let status = self.child.as_mut()?.try_wait().ok()?;
+            if let Some(status) = status {
+                self.child = None;
+                return Some(status.success());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for FleetDaemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A plain upstream with its counts.
+pub struct PlainUpstream {
+    /// The running service.
+    pub server: StandinServer,
+    /// Its counts.
+    pub service: PlainService,
+}
+
+/// A deployment.
+pub struct Fleet {
+    /// The daemons.
+    pub daemons: Vec<FleetDaemon>,
+    /// The engines by name.
+    pub engines: BTreeMap<String, StandinServer>,
+    /// The folder with settings and documents.
+    pub folder: tempfile::TempDir,
+    options: FleetOptions,
+    /// The plain upstreams by name.
+    pub plain: BTreeMap<String, PlainUpstream>,
+    /// The store.
+    pub store: Store,
+    /// The store's server.
+    pub store_server: StandinServer,
+}
+
+impl Fleet {
+    /// Starts a deployment and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a program does not start or a daemon does not become ready.
+    pub fn start(options: FleetOptions) -> io::Result<Self> {
+        let store = Store::default();
+        let store_server = store::start(SocketAddr::from(([127, 0, 0, 1], 0)), &store);
+        let mut fleet = Self {
+            daemons: Vec::new(),
+            engines: BTreeMap::new(),
+            folder: tempfile::tempdir()?,
+            options,
+            plain: BTreeMap::new(),
+            store,
+            store_server,
+        };
+        fleet.start_upstreams();
+        fleet.write_documents()?;
+        fleet.ctl(&["apply", "llm.toml", "app.toml", "desk.toml", "field.toml"])?;
+        fleet.start_daemons()?;
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// Runs apricotctl in the deployment's folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with what the command printed when it fails.
+    pub fn ctl(&self, args: &[&str]) -> io::Result<String> {
+        let output = self.try_ctl(args)?;
+        match output.status.success() {
+            true => Ok(String::from_utf8_lossy(&output.stdout).into_owned()),
+            false => Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned())),
+        }
+    }
+
+    /// Runs apricotctl and returns what it did, success or not.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the program cannot be started.
+    pub fn try_ctl(&self, args: &[&str]) -> io::Result<Output> {
+        let daemons: Vec<_> = self.daemons.iter().map(|d| d.http.to_string()).collect();
+        let mut command = Command::new(self.options.binaries.join("apricotctl"));
+        command
+            .args(args)
+            .current_dir(self.folder.path())
+            .env("APRICOTRUN_STORE", self.store_server.address.to_string())
+            .env("APRICOTRUN_OPERATOR_KEY", OPERATOR_KEY);
+        if !daemons.is_empty() {
+            command.env("APRICOTRUN_DAEMONS", daemons.join(","));
+        }
+        command.output()
+    }
+
+    /// Starts a daemon again, or for the first time, on its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the program cannot be started.
+    pub fn restart(&mut self, index: usize) -> io::Result<()> {
+        let log = match self.options.show_logs {
+            true => Stdio::inherit(),
+            false => Stdio::null(),
+        };
+        let daemon = &mut self.daemons[index];
+        daemon.kill();
+        let child = Command::new(self.options.binaries.join("apricotrund"))
+            .arg("--config")
+            .arg(&daemon.settings)
+            .stderr(log)
+            .spawn()?;
+        daemon.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns the daemons of a failure domain.
+    pub fn daemons_of(&self, domain: &str) -> Vec<&FleetDaemon> {
+        self.daemons.iter().filter(|daemon| daemon.domain == domain).collect()
+    }
+
+    /// Waits until every daemon that runs answers that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names a daemon that does not.
+    pub fn wait_ready(&self) -> io::Result<()> {
+        let client = reqwest::blocking::Client::builder().no_proxy().build();
+        let client = client.map_err(io::Error::other)?;
+        let started = Instant::now();
+        for daemon in self.daemons.iter().filter(|daemon| daemon.child.is_some()) {
+            loop {
+                let answer = client.get(daemon.url("/ready")).send();
+                if answer.is_ok_and(|answer| answer.status().is_success()) {
+                    break;
+                }
+                if started.elapsed() > READY_LIMIT {
+                    return Err(io::Error::other(format!("{} is not ready", daemon.host)));
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+
+    fn start_upstreams(&mut self) {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        for domain in self.options.domains.clone() {
+            for index in 0..self.options.prefill + self.options.decode {
+                let role = if index < self.options.prefill { "prefill" } else { "decode" };
+                let name = format!("{domain}-{role}-{index}");
+                self.engines.insert(name, engine::start(any, self.options.engine.clone()));
+            }
+            for index in 0..self.options.plain {
+                let service = PlainService::default();
+                let server = plain::start(any, &service);
+                let name = format!("{domain}-plain-{index}");
+                self.plain.insert(name, PlainUpstream { server, service });
+            }
+        }
+    }
+
+    fn write_documents(&self) -> io::Result<()> {
+        self.write("llm.toml", &self.llm_template())?;
+        self.write("app.toml", &self.app_template())?;
+        for (name, key) in [("desk", DESK_KEY), ("field", FIELD_KEY)] {
+            self.write(&format!("{name}.toml"), &account_document(name, key))?;
+        }
+        Ok(())
+    }
+
+    /// Writes a file into the deployment's folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be written.
+    pub fn write(&self, name: &str, text: &str) -> io::Result<PathBuf> {
+        let path = self.folder.path().join(name);
+        fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Returns the template of the service with prefill and decode workers.
+    pub fn llm_template(&self) -> String {
+        let engine = &self.options.engine;
+        let mut text = format!(
+            "service = \"fitting-llm\"\nmodels = [\"fitting-7b\"]\ndeadline_ms = {}\n\
+             first_token_target_ms = {}\nbetween_token_target_ms = 40\neviction_ms = {}\n\
+             prefill_tokens_per_second = {:.1}\nlink_tokens_per_second = {:.1}\n",
+            self.options.deadline_ms,
+            self.options.first_token_target_ms,
+            engine.eviction.as_millis(),
+            engine.prefill_tokens_per_second,
+            engine.link_tokens_per_second,
+        );
+        for (name, server) in &self.engines {
+            let role = if name.contains("prefill") { "prefill" } else { "decode" };
+            let pieces = engine.slots * 2;
+            text += &upstream_entry(name, role, server.address, engine.slots);
+            if role == "decode" {
+                text += &format!("pieces = {pieces}\n");
+            }
+        }
+        text
+    }
+
+    /// Returns the template of the plain service.
+    pub fn app_template(&self) -> String {
+        let mut text = format!(
+            "service = \"rental-app\"\ndeadline_ms = {}\nfirst_token_target_ms = 1000\n\
+             non_idempotent = [\"POST /bookings\", \"POST /returns\"]\n",
+            self.options.deadline_ms,
+        );
+        for (name, upstream) in &self.plain {
+            text += &upstream_entry(name, "plain", upstream.server.address, 16);
+        }
+        text
+    }
+
+    fn start_daemons(&mut self) -> io::Result<()> {
+        let mut hosts = Vec::new();
+        for domain in &self.options.domains {
+            for index in 0..self.options.daemons {
+                hosts.push((domain.clone(), format!("{domain}-{index}"), free_pair()));
+            }
+        }
+        let seeds: Vec<_> = hosts.iter().map(|(_, _, (_, peer))| format!("\"{peer}\"")).collect();
+        for (index, (domain, host, (http, peer))) in hosts.iter().enumerate() {
+            let text = format!(
+                "host = \"{host}\"\ndomain = \"{domain}\"\nhttp = \"{http}\"\npeer = \"{peer}\"\n\
+                 seeds = [{}]\nstore = \"{}\"\npeer_key = \"{PEER_KEY}\"\n\
+                 operator_key = \"{OPERATOR_KEY}\"\nfault_switches = true\n{}",
+                seeds.join(", "),
+                self.store_server.address,
+                self.options.settings,
+            );
+            let settings = self.write(&format!("{host}.toml"), &text)?;
+            let (domain, host) = (domain.clone(), host.clone());
+            let daemon =
+                FleetDaemon { child: None, domain, host, http: *http, peer: *peer, settings };
+            self.daemons.push(daemon);
+            self.restart(index)?;
+        }
+        Ok(())
+    }
+}
+
+fn free_pair() -> (SocketAddr, SocketAddr) {
+    (free_address(), free_address())
+}
+
+fn upstream_entry(name: &str, role: &str, address: SocketAddr, slots: usize) -> String {
+    let domain = name.split(&format!("-{role}-")).next().unwrap_or_default();
+    format!(
+        "\n[[upstream]]\nname = \"{name}\"\nrole = \"{role}\"\ndomain = \"{domain}\"\n\
+         address = \"{address}\"\nslots = {slots}\n"
+    )
+}
+
+/// Returns the parameters of an account that may use both services.
+pub fn account_document(name: &str, key: &str) -> String {
+    let digest = key_digest(key);
+    format!(
+        "account = \"{name}\"\nkey_digest = \"{digest}\"\n\n[services.fitting-llm]\nshare = 0.5\n\n\
+         [services.rental-app]\nshare = 0.5\n"
+    )
+}
+
+fn key_digest(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
