--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,239 @@
+//! The platform's key-value store, by the HTTP API that Consul publishes: versions,
+//! compare-and-swap and blocking reads. It can be down, slow, and lose the answers of writes.
+
+use crate::server::StandinServer;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use rocket::data::ToByteUnit;
+use rocket::http::{Header, Status};
+use rocket::response::Responder;
+use rocket::serde::json::Json;
+use rocket::{Data, Request, Response, State, delete, get, post, put, routes};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::Cursor;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
+/// What goes wrong on purpose.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreFaults {
+    /// How long each call takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Calls fail and have no effect.
+    pub down: bool,
+    /// This many writes take effect and their answers are lost.
+    pub lose_answers: u32,
+}
+
+/// The calls that a store has had.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreCounts {
+    /// Reads; a waiting watch counts as one.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
+#[derive(Default)]
+struct StoreState {
+    counts: StoreCounts,
+    faults: StoreFaults,
+    index: u64,
+    values: BTreeMap<String, (u64, Vec<u8>)>,
+}
+
+/// A store.
+#[derive(Clone)]
+pub struct Store {
+    changed: Arc<watch::Sender<u64>>,
+    state: Arc<Mutex<StoreState>>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        let (changed, _) = watch::channel(0);
+        Self { changed: Arc::new(changed), state: Arc::default() }
+    }
+}
+
+impl Store {
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.state().faults = faults;
+    }
+
+    /// Returns the calls so far.
+    pub fn counts(&self) -> StoreCounts {
+        self.state().counts
+    }
+
+    /// Returns all values.
+    pub fn snapshot(&self) -> BTreeMap<String, (u64, Vec<u8>)> {
+        self.state().values.clone()
+    }
+
+    /// Puts values back as a restored copy of the store would have them.
+    pub fn restore(&self, values: BTreeMap<String, (u64, Vec<u8>)>) {
+        let mut state = self.state();
+        state.values = values;
+        state.index += 1;
+        self.changed.send_replace(state.index);
+    }
+
+    fn write(&self, key: &str, value: Option<Vec<u8>>, cas: Option<u64>) -> bool {
+        let mut state = self.state();
+        let current = state.values.get(key).map_or(0, |(index, _)| *index);
+        if cas.is_some_and(|expected| expected != current) {
+            return false;
+        }
+        state.index += 1;
+        let index = state.index;
+        match value {
+            Some(value) => state.values.insert(key.to_owned(), (index, value)),
+            None => state.values.remove(key),
+        };
+        self.changed.send_replace(index);
+        true
+    }
+
+    /// Counts a call and applies delay and outage.
+    async fn enter(&self, write: bool) -> Result<(), Status> {
+        let faults = {
+            let mut state = self.state();
+            match write {
+                true => state.counts.writes += 1,
+                false => state.counts.reads += 1,
+            }
+            state.faults.clone()
+        };
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        match faults.down {
+            true => Err(Status::InternalServerError),
+            false => Ok(()),
+        }
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut state = self.state();
+        let loses = state.faults.lose_answers > 0;
+        state.faults.lose_answers -= u32::from(loses);
+        loses
+    }
+}
+
+/// Starts a store that shares its values with `store`.
+pub fn start(address: SocketAddr, store: &Store) -> StandinServer {
+    let store = store.clone();
+    StandinServer::start(address, |rocket, _kill| {
+        rocket.manage(store).mount("/", routes![counts, faults, read, remove, write])
+    })
+}
+
+struct PairReply {
+    body: String,
+    index: u64,
+}
+
+impl<'r> Responder<'r, 'static> for PairReply {
+    fn respond_to(self, _request: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let mut response = Response::build();
+        if self.body.is_empty() {
+            response.status(Status::NotFound);
+        }
+        response
+            .header(Header::new("X-Consul-Index", self.index.to_string()))
+            .sized_body(self.body.len(), Cursor::new(self.body))
+            .ok()
+    }
+}
+
+#[get("/v1/kv/<key..>?<index>&<wait>")]
+async fn read(
+    store: &State<Store>,
+    key: PathBuf,
+    index: Option<u64>,
+    wait: Option<&str>,
+) -> Result<PairReply, Status> {
+    store.enter(false).await?;
+    let key = key.to_string_lossy().into_owned();
+    let wait = wait.and_then(|wait| wait.trim_end_matches("ms").parse().ok()).unwrap_or(0);
+    let mut changes = store.changed.subscribe();
+    let deadline = tokio::time::Instant::now() + Duration::from_millis(wait);
+    while index.is_some_and(|index| store.index_of(&key) <= index) {
+        let changed = tokio::time::timeout_at(deadline, changes.changed()).await;
+        if changed.is_err() {
+            break;
+        }
+        if store.state().faults.down {
+            return Err(Status::InternalServerError);
+        }
+    }
+    let state = store.state();
+    let (body, at) = match state.values.get(&key) {
+        Some((at, value)) => {
+            let value = BASE64_STANDARD.encode(value);
+            let pairs = json!([{ "Key": key, "Value": value, "ModifyIndex": at }]);
+            (pairs.to_string(), *at)
+        }
+        None => (String::new(), state.index),
+    };
+    Ok(PairReply { body, index: at.max(1) })
+}
+
+impl Store {
+    fn index_of(&self, key: &str) -> u64 {
+        let state = self.state();
+        state.values.get(key).map_or(0, |(index, _)| *index)
+    }
+}
+
+#[put("/v1/kv/<key..>?<cas>", data = "<data>")]
+async fn write(
+    store: &State<Store>,
+    key: PathBuf,
+    cas: Option<u64>,
+    data: Data<'_>,
+) -> Result<&'static str, Status> {
+    store.enter(true).await?;
+    let body = data.open(MAX_VALUE_BYTES.bytes()).into_bytes().await;
+    let body = body.map_err(|_| Status::BadRequest)?;
+    if !body.is_complete() {
+        return Err(Status::PayloadTooLarge);
+    }
+    let written = store.write(&key.to_string_lossy(), Some(body.into_inner()), cas);
+    if store.loses_answer() {
+        return Err(Status::InternalServerError);
+    }
+    Ok(if written { "true" } else { "false" })
+}
+
+#[delete("/v1/kv/<key..>")]
+async fn remove(store: &State<Store>, key: PathBuf) -> Result<&'static str, Status> {
+    store.enter(true).await?;
+    store.write(&key.to_string_lossy(), None, None);
+    Ok("true")
+}
+
+#[get("/counts")]
+fn counts(store: &State<Store>) -> Json<StoreCounts> {
+    Json(store.counts())
+}
+
+#[post("/faults", data = "<faults>")]
+fn faults(store: &State<Store>, faults: Json<StoreFaults>) -> Status {
+    store.set_faults(faults.into_inner());
+    Status::NoContent
+}
