Hold claims at two daemons besides their entry; finish what a lost upstream left

Cause, found by the new tests through real processes: 1. entry_and_owner_killed_together: an entry that is itself the owner or the backup counted as one of the two holders of its claims, so the loss of two hosts lost the claim. Seen: 'overloaded' within a shard of 40 free slots. 3. engine_killed_while_decoding_is_resumed_elsewhere: every request of a dead upstream became a suspect, and suspects ran one at a time. Seen: 'overloaded', verdict may-have-run. Ruled out: a longer recovery (1, the claim is nowhere); a longer target (2, the shard is idle); running suspects alone on an empty worker, as first designed (3, there is none under load). Change: a third holder; an ask that is late but finds room runs, and nothing expires during recovery; a loss weighs 1 beside others and 2 as the worker's only suspect, a run under 1 s before the loss makes a suspect, and weight 3 is refused everywhere. A request that was started once has until its deadline.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -1,9 +1,9 @@
-//! Counts the upstreams that a request body has ended, so that it is not tried without end.
+//! Weighs the upstreams that died while they ran a request body, so that it is not tried without end.
 
 use crate::coordination::flow::CRASH_LIMIT;
 use crate::coordination::messages::CrashReport;
 use crate::prelude::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// How long a lost upstream counts against a body.
 pub const CRASH_MEMORY: Duration = Duration::from_secs(3600);
@@ -12,7 +12,7 @@
 
 #[derive(Debug)]
 struct CrashEntry {
-    attempts: BTreeSet<AttemptId>,
+    attempts: BTreeMap<AttemptId, u32>,
     last: Instant,
 }
 
@@ -29,17 +29,17 @@
         let entry = self
             .bodies
             .entry(report.fingerprint)
-            .or_insert_with(|| CrashEntry { attempts: BTreeSet::new(), last: now });
+            .or_insert_with(|| CrashEntry { attempts: BTreeMap::new(), last: now });
         entry.last = now;
         if entry.attempts.len() < CRASH_LIMIT as usize {
-            entry.attempts.insert(report.attempt);
+            entry.attempts.insert(report.attempt, report.weight);
         }
     }
 
-    /// Returns how many upstreams a body has ended lately.
-    pub fn count(&self, now: Instant, fingerprint: &Fingerprint) -> u32 {
+    /// Returns the weight of the upstreams that died lately while they ran a body.
+    pub fn weight(&self, now: Instant, fingerprint: &Fingerprint) -> u32 {
         match self.bodies.get(fingerprint) {
-            Some(entry) if now < entry.last + CRASH_MEMORY => entry.attempts.len() as u32,
+            Some(entry) if now < entry.last + CRASH_MEMORY => entry.attempts.values().sum(),
             _ => 0,
         }
     }
--- a/src/coordination/flow.rs
+++ b/src/coordination/flow.rs
@@ -26,8 +26,16 @@
 const MIN_STALL: Duration = Duration::from_millis(500);
 /// How many between-token targets may pass without a token before the run counts as stalled.
 const STALLED_TOKENS: u32 = 40;
-/// The count of lost upstreams at which a request is refused everywhere.
-pub const CRASH_LIMIT: u32 = 2;
+/// A run this short before its upstream died makes the request a suspect.
+const SHORT_RUN: Duration = Duration::from_secs(1);
+/// The weight of an upstream that died while it ran the request beside others.
+const SHARED_LOSS: u32 = 1;
+/// The weight of an upstream that died while the request was its only suspect.
+const SUSPECT_LOSS: u32 = 2;
+/// The weight from which a request runs only where no other suspect runs.
+const SUSPECT_WEIGHT: u32 = 2;
+/// The weight at which a request is refused everywhere.
+pub const CRASH_LIMIT: u32 = 3;
 
 /// Where an engine keeps a computed prompt, in the engine's own words.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,7 +50,7 @@
     pub answer: Tokens,
     /// The target for the time between tokens.
     pub between_token_target: Duration,
-    /// How many upstreams the same body has ended so far.
+    /// The weight of the upstreams that died while they ran the same body.
     pub crashes: u32,
     /// When the caller's patience ends.
     pub deadline: Instant,
@@ -174,6 +182,7 @@
     grant: GrantMessage,
     progress_due: Instant,
     running: bool,
+    step_began: Instant,
 }
 
 #[derive(Debug)]
@@ -197,16 +206,18 @@
     spills: usize,
     stage: FlowStage,
     starts: u32,
+    suspect: bool,
     touched: bool,
 }
 
 impl RequestFlow {
     /// Returns the flow of a request that is about to start.
     pub fn new(now: Instant, spec: RequestSpec) -> Self {
+        let crashes = spec.crashes;
         Self {
             attempt: 0,
             avoid: Vec::new(),
-            crashes: spec.crashes,
+            crashes,
             domain: 0,
             next_token: 0,
             opened: false,
@@ -215,6 +226,7 @@
             spills: 0,
             stage: FlowStage::Asking { first: now, next: now, heard: false },
             starts: 0,
+            suspect: crashes > 0,
             touched: false,
         }
     }
@@ -313,7 +325,8 @@
     }
 
     fn send_ask(&self, now: Instant, out: &mut Vec<FlowAction>) {
-        let due = match self.next_token {
+        // What upstreams have lost is finished, late or not.
+        let due = match self.starts {
             0 => self.spec.first_token_due,
             _ => self.spec.deadline,
         };
@@ -327,7 +340,7 @@
             prompt: Tokens(self.spec.prompt.0 + self.next_token),
             resuming: self.starts > 0,
             returning: self.spec.returning,
-            suspect: self.crashes > 0,
+            suspect: self.suspect,
         };
         out.push(FlowAction::Tell(self.spec.domains[self.domain].clone(), ShardMessage::Ask(ask)));
     }
@@ -404,7 +417,7 @@
             None => out.push(self.start_run(&grant, None)),
         }
         let progress_due = self.progress_due(now, running);
-        let active = ActiveAttempt { domain, grant, progress_due, running };
+        let active = ActiveAttempt { domain, grant, progress_due, running, step_began: now };
         self.stage = FlowStage::Active(Box::new(active));
     }
 
@@ -463,6 +476,7 @@
         }
         active.running = true;
         active.progress_due = due;
+        active.step_began = now;
         let domain = active.domain.clone();
         let grant = active.grant.clone();
         out.push(FlowAction::Advance(domain, attempt.clone(), ClaimPhase::Transfer));
@@ -545,6 +559,7 @@
         let ours = self.is_current(attempt);
         let (FlowStage::Active(active), true) = (&self.stage, ours) else { return };
         let claim = active.grant.claim.clone();
+        let short = now < active.step_began + SHORT_RUN;
         let lost = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
             _ => claim.runner.clone(),
@@ -553,11 +568,14 @@
         self.abort(outcome, out);
         self.touched |= matches!(loss, UpstreamLoss::Broken | UpstreamLoss::Died);
         if loss == UpstreamLoss::Died {
-            self.crashes += 1;
+            let weight = if claim.suspect { SUSPECT_LOSS } else { SHARED_LOSS };
+            self.crashes += weight;
+            self.suspect |= short || self.crashes >= SUSPECT_WEIGHT;
             let report = CrashReport {
                 attempt: attempt.clone(),
                 fingerprint: self.spec.fingerprint,
                 upstream: lost.clone(),
+                weight,
             };
             out.push(FlowAction::Report(report));
         }
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -210,6 +210,8 @@
     pub attempt: AttemptId,
     /// The upstream that was lost.
     pub upstream: UpstreamName,
+    /// How strongly it counts against the body.
+    pub weight: u32,
 }
 
 /// Everything that travels over TCP between daemons.
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -149,8 +149,9 @@
             ShardEvent::Tick => self.bookings.prune(now),
         }
         if self.role == ShardRole::Owner {
-            self.expire(now, &mut actions);
+            // What is late but finds room runs: only overload refuses it.
             self.schedule(now, &mut actions);
+            self.expire(now, &mut actions);
             self.cancel_orphans(now, &mut actions);
         }
         actions
@@ -466,6 +467,9 @@
     }
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        if !self.may_grant(now) {
+            return;
+        }
         let Some(template) = self.template.clone() else { return };
         while let Some(waiting) = self.queue.pop_expired(now) {
             let account = waiting.ask.account.clone();
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -215,7 +215,7 @@
         account: account.clone(),
         answer,
         between_token_target: template.between_token_target.max(Duration::from_millis(1)),
-        crashes: lock(&node.crashes).count(now, &fingerprint),
+        crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
         fingerprint,
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -216,7 +216,7 @@
         account: plain.account.clone(),
         answer: Tokens(0),
         between_token_target: Duration::ZERO,
-        crashes: lock(&node.crashes).count(now, &fingerprint),
+        crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
         fingerprint,
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -27,6 +27,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, Semaphore};
 
+/// How many daemons of a shard know claims: its owner and two backups.
+pub const SHARD_HOLDERS: usize = 3;
+
 /// Takes a lock; a panic elsewhere must not stop the daemon's other requests.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -111,15 +114,44 @@
         ranked.into_iter().map(|daemon| eligible[daemon].clone()).collect()
     }
 
-    /// Says something to a shard's owner, and to its backup too where both must know.
-    pub fn tell_shard(
+    /// Says something to a shard's owner.
+    pub fn tell_owner(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        domain: &DomainName,
+        message: ShardMessage,
+    ) {
+        let order = self.shard_order(service, domain);
+        self.tell_holders(service, domain, &message, order.into_iter().take(1));
+    }
+
+    /// Tells owner and backups what this entry holds. Two others than this daemon hear it, so
+    /// that the loss of this one and another leaves one that knows.
+    pub fn tell_claim_holders(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        domain: &DomainName,
+        message: &ShardMessage,
+    ) {
+        let order = self.shard_order(service, domain);
+        let mut others = 0;
+        let holders = order.into_iter().take(SHARD_HOLDERS).filter(|record| {
+            let other = record.daemon != self.me;
+            others += usize::from(other);
+            !other || others < SHARD_HOLDERS
+        });
+        let holders: Vec<_> = holders.collect();
+        self.tell_holders(service, domain, message, holders.into_iter());
+    }
+
+    fn tell_holders(
         self: &Arc<Self>,
         service: &ServiceName,
         domain: &DomainName,
         message: &ShardMessage,
-        most: usize,
+        holders: impl Iterator<Item = MemberRecord>,
     ) {
-        for record in self.shard_order(service, domain).into_iter().take(most) {
+        for record in holders {
             let message = PeerMessage::Shard {
                 domain: domain.clone(),
                 message: message.clone(),
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -31,8 +31,6 @@
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
 /// The longest sleep between two looks at the clock.
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
-/// How many daemons of a shard know its claims: owner and backup.
-const CLAIM_HOLDERS: usize = 2;
 
 /// The claims of this entry by shard.
 #[derive(Debug, Default)]
@@ -197,7 +195,7 @@
         match action {
             FlowAction::Tell(domain, message) => {
                 self.hop("ask");
-                self.node.tell_shard(&self.service, &domain, &message, 1);
+                self.node.tell_owner(&self.service, &domain, message);
             }
             FlowAction::Claim(domain, claim) => self.claim(&domain, claim),
             FlowAction::Advance(domain, attempt, phase) => self.advance(&domain, attempt, phase),
@@ -253,13 +251,13 @@
 
     fn claim(&mut self, domain: &DomainName, claim: SlotClaim) {
         let message = lock(&self.node.claims).book(&self.service, domain).insert(claim);
-        self.node.tell_shard(&self.service, domain, &message, CLAIM_HOLDERS);
+        self.node.tell_claim_holders(&self.service, domain, &message);
     }
 
     fn advance(&mut self, domain: &DomainName, attempt: AttemptId, phase: ClaimPhase) {
         let message = lock(&self.node.claims).book(&self.service, domain).advance(&attempt, phase);
         if let Some(message) = message {
-            self.node.tell_shard(&self.service, domain, &message, CLAIM_HOLDERS);
+            self.node.tell_claim_holders(&self.service, domain, &message);
         }
     }
 
@@ -438,7 +436,7 @@
     outcome: ReleaseOutcome,
 ) {
     lock(&node.claims).book(service, domain).remove(&attempt);
-    node.tell_shard(service, domain, &ShardMessage::Release(attempt, outcome), CLAIM_HOLDERS);
+    node.tell_claim_holders(service, domain, &ShardMessage::Release(attempt, outcome));
 }
 
 /// Tells owners and backups every second what this entry holds.
@@ -470,7 +468,7 @@
             summaries.entry((service, domain.clone())).or_insert_with(empty);
         }
         for ((service, domain), summary) in summaries {
-            self.tell_shard(&service, &domain, &summary, CLAIM_HOLDERS);
+            self.tell_claim_holders(&service, &domain, &summary);
         }
     }
 
--- a/src/transport/shards.rs
+++ b/src/transport/shards.rs
@@ -5,7 +5,7 @@
 use crate::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus};
 use crate::prelude::*;
 use crate::state::fleet::AccountGrant;
-use crate::transport::node::{Node, lock};
+use crate::transport::node::{Node, SHARD_HOLDERS, lock};
 use metrics::{counter, gauge};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -123,7 +123,7 @@
             let ranked = rank_daemons(&shard_duty(&service, &domain), eligible.iter());
             let role = match ranked.iter().position(|daemon| **daemon == self.me) {
                 Some(0) => ShardRole::Owner,
-                Some(1) => ShardRole::Backup,
+                Some(position) if position < SHARD_HOLDERS => ShardRole::Backup,
                 _ => ShardRole::Bystander,
             };
             self.note_role(&service, role);
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,148 @@
+//! A caller receives the whole answer to its own request, once, whatever engines do.
+
+mod support;
+
+use serde_json::json;
+use standins::engine::expected_answer;
+use standins::fleet::Fleet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+use support::{Caller, engine_reports, options, set_engine_faults, start, wait_until};
+
+const TOKENS: u32 = 40;
+
+fn expect_whole(fleet: &Fleet, prompt: &str) {
+    let answer = Caller::default().complete(&fleet.daemons[0], prompt, TOKENS);
+    let expected = Some(expected_answer(prompt, TOKENS));
+    assert_eq!(answer.streamed_text(), expected, "{} {}", answer.status, answer.body);
+}
+
+/// Gives one of two decode workers a fault and expects whole answers all the same.
+fn with_one_faulty_worker(faults: &serde_json::Value) {
+    let fleet = start(options());
+    set_engine_faults(&fleet, "decode-1", faults);
+    for round in 0..6 {
+        expect_whole(&fleet, &format!("round {round}"));
+    }
+}
+
+#[test]
+fn doubled_tokens_are_passed_on_once() {
+    let fleet = start(options());
+    set_engine_faults(&fleet, "decode", &json!({ "double_tokens": true }));
+    expect_whole(&fleet, "doubled");
+}
+
+#[test]
+fn tokens_of_another_request_are_dropped() {
+    let fleet = start(options());
+    set_engine_faults(&fleet, "decode", &json!({ "foreign_tokens": true }));
+    expect_whole(&fleet, "foreign");
+}
+
+#[test]
+fn reordered_tokens_are_repaired_elsewhere() {
+    with_one_faulty_worker(&json!({ "swap_tokens": true }));
+}
+
+#[test]
+fn answer_that_breaks_off_is_resumed_elsewhere() {
+    with_one_faulty_worker(&json!({ "break_after": 7 }));
+}
+
+#[test]
+fn stalled_transfer_is_retried_elsewhere() {
+    with_one_faulty_worker(&json!({ "stall_transfer": true }));
+}
+
+#[test]
+fn engine_killed_while_decoding_is_resumed_elsewhere() {
+    let fleet = start(options());
+    let caller = thread::scope(|scope| {
+        let answers: Vec<_> = (0..8)
+            .map(|index| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let prompt = format!("killed {index}");
+                    let answer = Caller::default().complete(&fleet.daemons[0], &prompt, 200);
+                    (answer, expected_answer(&prompt, 200))
+                })
+            })
+            .collect();
+        wait_until("both decode workers run", || {
+            engine_reports(&fleet, "decode").iter().all(|report| !report.running.is_empty())
+        });
+        let victim = fleet.engines.iter().find(|(name, _)| name.contains("decode"));
+        victim.expect("a decode worker").1.kill();
+        answers.into_iter().map(|answer| answer.join().expect("an answer")).collect::<Vec<_>>()
+    });
+    for (answer, expected) in caller {
+        assert_eq!(answer.streamed_text(), Some(expected), "{}", answer.body);
+    }
+}
+
+#[test]
+fn incomplete_answer_ends_with_an_error_event() {
+    let fleet = start(options());
+    set_engine_faults(&fleet, "decode", &json!({ "break_after": 0 }));
+    let answer = Caller::default().complete(&fleet.daemons[0], "never whole", TOKENS);
+    assert_eq!(answer.streamed_text(), None);
+    assert!(answer.body.contains("event:error"), "{}", answer.body);
+    assert!(answer.body.contains("\"verdict\":\"may-have-run\""), "{}", answer.body);
+}
+
+#[test]
+fn request_that_crashes_its_upstreams_is_refused_everywhere() {
+    let mut options = options();
+    options.decode = 4;
+    options.prefill = 4;
+    let fleet = start(options);
+    set_engine_faults(&fleet, "", &json!({ "crash_on": "poison" }));
+    let first = Caller::default().complete(&fleet.daemons[0], "poison", 4);
+    assert!(first.body.contains("crashes-upstream"), "{}", first.body);
+    let alive = engine_reports(&fleet, "").len();
+    assert_eq!(alive, 6, "two engines were lost");
+    wait_until("the other daemon refuses it too", || {
+        let again = Caller::default().complete(&fleet.daemons[1], "poison", 4);
+        again.status == 422
+    });
+    assert_eq!(engine_reports(&fleet, "").len(), 6, "no third engine was lost");
+    expect_whole(&fleet, "harmless");
+}
+
+#[test]
+fn answers_are_whole_while_owners_die() {
+    let mut options = options();
+    options.daemons = 4;
+    let mut fleet = start(options);
+    let owner = support::owner_of(&fleet, "fitting-llm");
+    let entry = (owner + 1) % 4;
+    let address = fleet.daemons[entry].http;
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let over = &over;
+                scope.spawn(move || {
+                    let mut count = 0;
+                    while !over.load(Ordering::Relaxed) {
+                        let prompt = format!("caller {caller} request {count}");
+                        let answer = support::complete_at(address, &prompt, TOKENS);
+                        let expected = Some(expected_answer(&prompt, TOKENS));
+                        assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+                        count += 1;
+                    }
+                    count
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        fleet.daemons[owner].kill();
+        thread::sleep(Duration::from_secs(4));
+        over.store(true, Ordering::Relaxed);
+        for caller in callers {
+            assert!(caller.join().expect("no answer was lost") > 5);
+        }
+    });
+}
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,172 @@
+//! No engine memory stays held for a request whose caller is gone.
+//!
+//! The engines run on when a connection ends, so that only a cancel frees their slots.
+
+mod support;
+
+use serde_json::json;
+use standins::fleet::Fleet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+use support::{
+    engine_reports, held_slots, options, owner_of, post, set_engine_faults, start, wait_until,
+    wait_within,
+};
+
+/// The time in which memory is freed after a caller's going.
+const CALLER_BOUND: Duration = Duration::from_secs(1);
+/// The time in which memory is freed after an entry's death.
+const ENTRY_BOUND: Duration = Duration::from_secs(3);
+/// The tokens of an answer that outlasts every test.
+const LONG_ANSWER: u32 = 3000;
+
+fn fleet(daemons: usize) -> Fleet {
+    let mut options = options();
+    options.daemons = daemons;
+    options.deadline_ms = 600_000;
+    options.first_token_target_ms = 600_000;
+    let fleet = start(options);
+    set_engine_faults(&fleet, "", &json!({ "keep_after_disconnect": true }));
+    fleet
+}
+
+/// Sends a request and keeps the connection, so that the test can drop it.
+fn open_request(fleet: &Fleet, daemon: usize, prompt: &str) -> TcpStream {
+    let body = support::completion(prompt, LONG_ANSWER, true);
+    let mut stream = TcpStream::connect(fleet.daemons[daemon].http).expect("a connection");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        standins::fleet::DESK_KEY,
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("the request is sent");
+    stream
+}
+
+fn read_some(stream: &mut TcpStream) {
+    let mut buffer = [0; 4096];
+    let length = stream.read(&mut buffer).expect("an answer");
+    assert!(length > 0);
+}
+
+fn has_started(fleet: &Fleet, part: &str) -> bool {
+    engine_reports(fleet, part).iter().any(|report| !report.running.is_empty())
+}
+
+#[test]
+fn caller_gone_while_decoding() {
+    let fleet = fleet(2);
+    let mut stream = open_request(&fleet, 0, "decoding");
+    read_some(&mut stream);
+    wait_until("the run starts", || has_started(&fleet, "decode"));
+    drop(stream);
+    wait_within("the slot is free", CALLER_BOUND, || held_slots(&fleet) == 0);
+}
+
+#[test]
+fn caller_gone_while_prefilling() {
+    let fleet = fleet(2);
+    let stall = json!({ "stall_prefill": true, "keep_after_disconnect": true });
+    set_engine_faults(&fleet, "prefill", &stall);
+    let stream = open_request(&fleet, 0, "prefilling");
+    wait_until("the prefill starts", || has_started(&fleet, "prefill"));
+    drop(stream);
+    wait_within("the slot is free", CALLER_BOUND, || held_slots(&fleet) == 0);
+}
+
+#[test]
+fn caller_gone_while_transferring() {
+    let fleet = fleet(2);
+    let stall = json!({ "stall_transfer": true, "keep_after_disconnect": true });
+    set_engine_faults(&fleet, "decode", &stall);
+    let stream = open_request(&fleet, 0, "transferring");
+    wait_until("the transfer starts", || has_started(&fleet, "decode"));
+    drop(stream);
+    wait_within("the slot is free", CALLER_BOUND, || held_slots(&fleet) == 0);
+}
+
+#[test]
+fn caller_gone_and_engine_deaf_for_a_while() {
+    let fleet = fleet(2);
+    let stream = open_request(&fleet, 0, "deaf");
+    wait_until("the run starts", || has_started(&fleet, "decode"));
+    let deaf = json!({ "deaf_to_cancel": true, "keep_after_disconnect": true });
+    set_engine_faults(&fleet, "", &deaf);
+    drop(stream);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(held_slots(&fleet), 1);
+    set_engine_faults(&fleet, "", &json!({ "keep_after_disconnect": true }));
+    wait_within("the slot is free", ENTRY_BOUND, || held_slots(&fleet) == 0);
+}
+
+/// Kills an entry while its request is at a step, and expects the memory to become free.
+fn kill_entry_at(faults: &serde_json::Value, part: &str) {
+    let mut fleet = fleet(3);
+    set_engine_faults(&fleet, part, faults);
+    let _stream = open_request(&fleet, 0, "entry dies");
+    wait_until("the step begins", || has_started(&fleet, part));
+    fleet.daemons[0].kill();
+    wait_within("the slot is free", ENTRY_BOUND, || held_slots(&fleet) == 0);
+}
+
+#[test]
+fn entry_killed_while_prefilling() {
+    kill_entry_at(&json!({ "stall_prefill": true, "keep_after_disconnect": true }), "prefill");
+}
+
+#[test]
+fn entry_killed_while_transferring() {
+    kill_entry_at(&json!({ "stall_transfer": true, "keep_after_disconnect": true }), "decode");
+}
+
+#[test]
+fn entry_killed_while_decoding() {
+    kill_entry_at(&json!({ "keep_after_disconnect": true }), "decode");
+}
+
+#[test]
+fn entry_and_owner_killed_together() {
+    let mut fleet = fleet(4);
+    let streams: Vec<_> = (0..4).map(|daemon| open_request(&fleet, daemon, "together")).collect();
+    wait_until("all run", || held_slots(&fleet) == 4);
+    let owner = owner_of(&fleet, "fitting-llm");
+    let other = (owner + 1) % 4;
+    fleet.daemons[owner].kill();
+    fleet.daemons[other].kill();
+    // The two that are left keep their requests.
+    wait_within("two slots are free", ENTRY_BOUND, || held_slots(&fleet) == 2);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(held_slots(&fleet), 2);
+    drop(streams);
+    wait_within("all slots are free", ENTRY_BOUND, || held_slots(&fleet) == 0);
+}
+
+#[test]
+fn entry_paused_past_its_death() {
+    let fleet = fleet(3);
+    let owner = owner_of(&fleet, "fitting-llm");
+    let entry = (owner + 1) % 3;
+    let _stream = open_request(&fleet, entry, "paused");
+    wait_until("the run starts", || has_started(&fleet, "decode"));
+    fleet.daemons[entry].signal("STOP");
+    wait_within("the slot is free", ENTRY_BOUND, || held_slots(&fleet) == 0);
+    fleet.daemons[entry].signal("CONT");
+}
+
+#[test]
+fn cancel_that_overtakes_its_request_wins() {
+    let fleet = fleet(1);
+    let engine = fleet.engines.values().next().expect("an engine").address;
+    let id = "host-1.5.1.1";
+    post(&format!("http://{engine}/abort_requests"), &json!({ "request_ids": [id] }));
+    let client = reqwest::blocking::Client::builder().no_proxy().build().expect("a client");
+    let answer = client
+        .post(format!("http://{engine}/v1/completions"))
+        .header("X-Request-Id", id)
+        .json(&json!({ "model": "fitting-7b", "prompt": "x", "max_tokens": 2 }))
+        .send()
+        .expect("an answer");
+    assert_eq!(answer.status().as_u16(), 410);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -179,3 +179,39 @@
     }
     started.elapsed()
 }
+
+/// Returns which daemon owns a service's shard, once exactly one says so.
+pub fn owner_of(fleet: &Fleet, service: &str) -> usize {
+    let mut owner = None;
+    wait_until("the shard has one owner", || {
+        let status = fleet.ctl(&["--json", "status"]).expect("a status");
+        let rows: Value = serde_json::from_str(&status).expect("JSON");
+        let owners: Vec<_> = rows
+            .as_array()
+            .expect("rows")
+            .iter()
+            .filter(|row| row["shards"][service]["role"] == "owner")
+            .collect();
+        let host = owners.first().and_then(|row| row["daemon"]["host"].as_str());
+        owner = fleet.daemons.iter().position(|daemon| Some(daemon.host.as_str()) == host);
+        owners.len() == 1 && owner.is_some()
+    });
+    owner.expect("an owner")
+}
+
+/// Asks the daemon at an address for a streamed completion.
+pub fn complete_at(address: std::net::SocketAddr, prompt: &str, tokens: u32) -> CallerAnswer {
+    let caller = Caller::default();
+    let url = format!("http://{address}/v1/completions");
+    let body = completion(prompt, tokens, true);
+    let response = caller.client.post(url).bearer_auth(&caller.key).body(body).send();
+    let response = response.expect("an answer");
+    CallerAnswer {
+        status: response.status().as_u16(),
+        verdict: None,
+        replayed: false,
+        retry_after: None,
+        return_pass: None,
+        body: response.text().expect("a whole body"),
+    }
+}
