--- a/src/coordination/shard/bookings.rs
+++ b/src/coordination/shard/bookings.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Returns the accounts that still have times to come.
+    pub fn booked(&self, now: Instant) -> impl Iterator<Item = &AccountName> {
+        let open = self.accounts.iter().filter(move |(_, booking)| booking.next > now);
+        open.map(|(account, _)| account)
+    }
+
     /// Forgets accounts whose times have all passed.
     pub fn prune(&mut self, now: Instant) {
         self.accounts.retain(|_, booking| booking.next + MIN_WAIT > now);
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -20,6 +20,8 @@
 const MAX_HEADS: usize = 4;
 /// How long a grant may be on its way before an entry's list must name it.
 const GRANT_TRAVEL: Duration = Duration::from_secs(2);
+/// The weight of an account with no share.
+const MIN_SHARE: f64 = 0.000_001;
 /// The least time that an ask may wait, so that a request too long for its target still runs
 /// on an idle shard.
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
@@ -306,7 +308,7 @@
         if let Some(granted) = self.try_grant_now(now, &template, &grant, &waiting) {
             return Some(ShardMessage::Grant(granted));
         }
-        if let Some(refusal) = self.refuse_hopeless(now, &template, &grant, &waiting) {
+        if let Some(refusal) = self.refuse_hopeless(now, &template, &waiting) {
             return Some(ShardMessage::Refuse(attempt, refusal));
         }
         self.queue.push(waiting, &grant);
@@ -365,47 +367,66 @@
         &mut self,
         now: Instant,
         template: &ServiceTemplate,
-        grant: &AccountGrant,
         waiting: &WaitingAsk,
     ) -> Option<Refusal> {
         if !self.may_grant(now) || waiting.ask.resuming {
             return None;
         }
         let account = &waiting.ask.account;
-        let rate = self.account_rate(now, template, grant, waiting);
+        let rate = self.account_rate(now, template, waiting);
         let free = match waiting.ask.returning {
             true => 1.0,
             false => self.bookings.free_part(now, account),
         };
-        let ahead = self.queue.waiting_of(account) as f64 + 1.0;
+        let ahead = self.queue.ahead_of(account, waiting.ask.returning) as f64 + 1.0;
         let wait = ahead / (rate * free).max(0.001);
         let patience = waiting.latest_start.saturating_duration_since(now);
         if wait <= patience.as_secs_f64() {
             return None;
         }
-        let after = self.bookings.book(now, account, rate);
+        let after = self.book(now, template, waiting);
         Some(Refusal::not_run(RefusalReason::Overloaded).after(after))
     }
 
     /// Returns how many requests a second the shard can start for an account.
-    fn account_rate(
-        &self,
-        now: Instant,
-        template: &ServiceTemplate,
-        grant: &AccountGrant,
-        waiting: &WaitingAsk,
-    ) -> f64 {
-        let ask = &waiting.ask;
-        let prefill = template.prefill_tokens_per_second.time_for(ask.prompt);
-        let run = template.between_token_target * ask.answer.0;
-        let slots = self.pool.usable(now);
-        let rate = self.estimate.rate(slots, prefill + run, prefill);
-        let held = f64::from(self.queue.held_of(&ask.account));
+    fn account_rate(&self, now: Instant, template: &ServiceTemplate, waiting: &WaitingAsk) -> f64 {
+        let account = &waiting.ask.account;
+        let rate = self.shard_rate(now, template, &waiting.ask);
+        let held = f64::from(self.queue.held_of(account));
         // An account below its share is served before the others.
-        if held < grant.share * f64::from(slots.run) {
+        if held < self.share_of(account) * f64::from(self.pool.usable(now).run) {
             return rate;
         }
-        rate * self.queue.fraction_of(&ask.account, grant.share)
+        rate * self.fraction_of(now, account)
+    }
+
+    fn shard_rate(&self, now: Instant, template: &ServiceTemplate, ask: &AskMessage) -> f64 {
+        let prefill = template.prefill_tokens_per_second.time_for(ask.prompt);
+        let run = template.between_token_target * ask.answer.0;
+        self.estimate.rate(self.pool.usable(now), prefill + run, prefill)
+    }
+
+    fn share_of(&self, account: &AccountName) -> f64 {
+        self.grants.get(account).map_or(0.0, |grant| grant.share).max(MIN_SHARE)
+    }
+
+    /// Returns the part of the capacity that an account gets beside all others that wait or are
+    /// to come back.
+    fn fraction_of(&self, now: Instant, account: &AccountName) -> f64 {
+        let waiting = self.queue.waiting_accounts();
+        let active: BTreeSet<_> = waiting.chain(self.bookings.booked(now)).collect();
+        let others = active.into_iter().filter(|other| *other != account);
+        let sum: f64 = others.map(|other| self.share_of(other)).sum();
+        let own = self.share_of(account);
+        own / (own + sum)
+    }
+
+    /// Books a time to come back, at the rate that is the account's own even when all others
+    /// come back too.
+    fn book(&mut self, now: Instant, template: &ServiceTemplate, waiting: &WaitingAsk) -> Duration {
+        let account = &waiting.ask.account;
+        let rate = self.shard_rate(now, template, &waiting.ask) * self.fraction_of(now, account);
+        self.bookings.book(now, account, rate)
     }
 
     fn is_over_ceiling(&self, now: Instant, waiting: &WaitingAsk, grant: &AccountGrant) -> bool {
@@ -472,15 +493,7 @@
         }
         let Some(template) = self.template.clone() else { return };
         while let Some(waiting) = self.queue.pop_expired(now) {
-            let account = waiting.ask.account.clone();
-            let grant = self.grants.get(&account).copied();
-            let wait = match grant {
-                Some(grant) => {
-                    let rate = self.account_rate(now, &template, &grant, &waiting);
-                    self.bookings.book(now, &account, rate)
-                }
-                None => NO_UPSTREAM_WAIT,
-            };
+            let wait = self.book(now, &template, &waiting);
             let refusal = Refusal::not_run(RefusalReason::Overloaded).after(wait);
             let message = ShardMessage::Refuse(waiting.ask.attempt, refusal);
             actions.push(ShardAction::Send(waiting.from, message));
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -29,8 +29,16 @@
     sequence: u64,
 }
 
+impl OrderKey {
+    fn is_first_class(&self) -> bool {
+        self.fresh != (true, true)
+    }
+}
+
 #[derive(Debug, Default)]
 struct AccountQueue {
+    /// How many of the waiting asks resume or come back.
+    first_class: usize,
     held: u32,
     share: f64,
     waiting: BTreeMap<OrderKey, WaitingAsk>,
@@ -67,6 +75,7 @@
         self.index.insert(attempt, (name.clone(), key));
         self.update(&name, |queue| {
             queue.share = grant.share;
+            queue.first_class += usize::from(key.is_first_class());
             queue.waiting.insert(key, waiting);
         });
     }
@@ -75,7 +84,10 @@
     pub fn remove(&mut self, attempt: &AttemptId) -> Option<WaitingAsk> {
         let (name, key) = self.index.remove(attempt)?;
         let mut removed = None;
-        self.update(&name, |queue| removed = queue.waiting.remove(&key));
+        self.update(&name, |queue| {
+            removed = queue.waiting.remove(&key);
+            queue.first_class -= usize::from(removed.is_some() && key.is_first_class());
+        });
         if let Some(waiting) = &removed {
             self.expiry.remove(&(waiting.latest_start, attempt.clone()));
         }
@@ -123,12 +135,15 @@
         self.accounts.get(name).map_or(0, |queue| queue.held)
     }
 
-    /// Returns the part of the capacity that an account gets beside the others that wait now.
-    pub fn fraction_of(&self, name: &AccountName, share: f64) -> f64 {
-        let own = share.max(MIN_SHARE);
-        let others = self.ready.iter().filter(|(_, other)| other != name);
-        let sum: f64 = others.map(|(_, other)| self.accounts[other].share.max(MIN_SHARE)).sum();
-        own / (own + sum)
+    /// Returns how many asks of an account go before a new one.
+    pub fn ahead_of(&self, name: &AccountName, returning: bool) -> usize {
+        let Some(queue) = self.accounts.get(name) else { return 0 };
+        if returning { queue.first_class } else { queue.waiting.len() }
+    }
+
+    /// Returns the accounts that wait.
+    pub fn waiting_accounts(&self) -> impl Iterator<Item = &AccountName> {
+        self.ready.iter().map(|(_, name)| name)
     }
 
     /// Returns how many asks wait.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod load;
 pub mod plain;
+pub mod policy;
 pub mod server;
 pub mod store;
