Move a computed prompt to another worker in place of computing it again

Ruled out: a longer rest of a stalled worker (fewer probes, but the first stalled transfers stay wasted); a stall limit of many tokens (the result is evicted by then). Change: a transfer counts as stalled after 5/8 of the eviction time; the next attempt asks for a decode worker alone while the result is still kept. The owner then leaves the result where it is.

--- a/src/coordination/flow.rs
+++ b/src/coordination/flow.rs
@@ -22,8 +22,11 @@
 const MAX_ATTEMPTS: u32 = 5;
 /// How many owners of other failure domains are asked after the local one refuses.
 const MAX_SPILLS: usize = 1;
-/// The least time that a transfer may take before it counts as stalled.
+/// The least time that a step may take before it counts as stalled.
 const MIN_STALL: Duration = Duration::from_millis(500);
+/// The part of the eviction time after which a transfer counts as stalled, so that enough is
+/// left to move the same result elsewhere.
+const STALL_PART: f64 = 0.625;
 /// How many between-token targets may pass without a token before the run counts as stalled.
 const STALLED_TOKENS: u32 = 40;
 /// A run this short before its upstream died makes the request a suspect.
@@ -54,6 +57,8 @@
     pub crashes: u32,
     /// When the caller's patience ends.
     pub deadline: Instant,
+    /// How long a prefill worker keeps a result that nobody fetched.
+    pub eviction: Duration,
     /// The failure domains to ask, the daemon's own first.
     pub domains: Vec<DomainName>,
     /// A digest of the body.
@@ -85,6 +90,8 @@
     Full,
     /// It ended the attempt or the connection, and still lives.
     Broken,
+    /// It has made no progress for too long.
+    Stalled,
     /// It is gone.
     Died,
 }
@@ -144,6 +151,8 @@
         domain: DomainName,
         /// The attempt.
         attempt: AttemptId,
+        /// Whether the next attempt uses the computed prompt.
+        keeps_prompt: bool,
         /// Where it may still run.
         upstreams: Vec<SocketAddr>,
         /// How it ended.
@@ -176,10 +185,18 @@
     Refuse(Refusal),
 }
 
+/// A computed prompt that a prefill worker still keeps.
+#[derive(Clone, Debug)]
+struct KeptPrompt {
+    handle: KvHandle,
+    until: Instant,
+}
+
 #[derive(Debug)]
 struct ActiveAttempt {
     domain: DomainName,
     grant: GrantMessage,
+    kept: Option<KeptPrompt>,
     progress_due: Instant,
     running: bool,
     step_began: Instant,
@@ -199,6 +216,7 @@
     avoid: Vec<UpstreamName>,
     crashes: u32,
     domain: usize,
+    kept: Option<KeptPrompt>,
     next_token: u32,
     opened: bool,
     refusal: Option<Refusal>,
@@ -208,6 +226,8 @@
     starts: u32,
     suspect: bool,
     touched: bool,
+    /// Whether the run waits for the transfer of its prompt.
+    transfers: bool,
 }
 
 impl RequestFlow {
@@ -219,6 +239,7 @@
             avoid: Vec::new(),
             crashes,
             domain: 0,
+            kept: None,
             next_token: 0,
             opened: false,
             refusal: None,
@@ -228,6 +249,7 @@
             starts: 0,
             suspect: crashes > 0,
             touched: false,
+            transfers: false,
         }
     }
 
@@ -336,6 +358,7 @@
             attempt: self.current(),
             avoid: self.avoid.clone(),
             first_token_within: due.saturating_duration_since(now),
+            prefilled: self.kept_prompt(now).is_some(),
             prefix: self.spec.prefix.clone(),
             prompt: Tokens(self.spec.prompt.0 + self.next_token),
             resuming: self.starts > 0,
@@ -408,19 +431,35 @@
         if !self.is_current(&attempt) || !matches!(self.stage, FlowStage::Asking { .. }) {
             return self.give_back(domain, grant, out);
         }
+        let kept = self.kept_prompt(now);
+        if grant.claim.phase == ClaimPhase::Transfer && kept.is_none() {
+            // The result was evicted while the request waited.
+            self.give_back(domain, grant, out);
+            return self.ask(now, out);
+        }
+        self.kept = None;
         self.open(out);
         self.starts += 1;
         out.push(FlowAction::Claim(domain.clone(), grant.claim.clone()));
         let running = grant.prefill_address.is_none();
         match grant.prefill_address {
             Some(address) => out.push(FlowAction::StartPrefill(attempt, address)),
-            None => out.push(self.start_run(&grant, None)),
+            None => {
+                let handle = kept.as_ref().map(|kept| kept.handle.clone());
+                out.push(self.start_run(&grant, handle));
+            }
         }
         let progress_due = self.progress_due(now, running);
-        let active = ActiveAttempt { domain, grant, progress_due, running, step_began: now };
+        let step_began = now;
+        let active = ActiveAttempt { domain, grant, kept, progress_due, running, step_began };
         self.stage = FlowStage::Active(Box::new(active));
     }
 
+    /// Returns the computed prompt of an earlier attempt while it can still be moved in time.
+    fn kept_prompt(&self, now: Instant) -> Option<KeptPrompt> {
+        self.kept.clone().filter(|kept| now + self.spec.link_time < kept.until)
+    }
+
     fn start_run(&self, grant: &GrantMessage, handle: Option<KvHandle>) -> FlowAction {
         FlowAction::StartRun {
             address: grant.runner_address,
@@ -437,11 +476,12 @@
         if between.is_zero() {
             return self.spec.deadline;
         }
-        let expected = match running {
-            true => self.spec.link_time * 3,
-            false => self.spec.prefill_time * 4,
+        let expected = match (running, self.transfers) {
+            (false, _) => self.spec.prefill_time * 4 + between,
+            (true, true) => (self.spec.link_time * 3).max(self.spec.eviction.mul_f64(STALL_PART)),
+            (true, false) => between,
         };
-        now + (expected + between).max(MIN_STALL)
+        now + expected.max(MIN_STALL)
     }
 
     fn take_refusal(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<FlowAction>) {
@@ -469,12 +509,15 @@
         if !self.is_current(attempt) {
             return;
         }
+        self.transfers = true;
         let due = self.progress_due(now, true);
+        let until = now + self.spec.eviction;
         let FlowStage::Active(active) = &mut self.stage else { return };
         if active.running {
             return;
         }
         active.running = true;
+        active.kept = Some(KeptPrompt { handle: handle.clone(), until });
         active.progress_due = due;
         active.step_began = now;
         let domain = active.domain.clone();
@@ -493,6 +536,7 @@
         out: &mut Vec<FlowAction>,
     ) {
         let ours = self.is_current(attempt) && marked == attempt.to_string();
+        self.transfers &= !ours;
         let due = self.progress_due(now, true);
         let (FlowStage::Active(active), true) = (&mut self.stage, ours) else {
             return out.push(FlowAction::Dropped);
@@ -506,6 +550,7 @@
             return self.lose(now, attempt, broken, ReleaseOutcome::RunnerLost, out);
         }
         active.progress_due = due;
+        active.kept = None;
         if active.grant.claim.phase != ClaimPhase::Run {
             active.grant.claim.phase = ClaimPhase::Run;
             let domain = active.domain.clone();
@@ -559,14 +604,19 @@
         let ours = self.is_current(attempt);
         let (FlowStage::Active(active), true) = (&self.stage, ours) else { return };
         let claim = active.grant.claim.clone();
+        // A worker that broke off may have fetched the prompt, and then nobody keeps it.
+        let unfetched = !matches!(loss, UpstreamLoss::Broken | UpstreamLoss::Died);
+        let transferring = outcome == ReleaseOutcome::RunnerLost && unfetched;
+        self.kept = active.kept.clone().filter(|_| transferring);
+        let keeps_prompt = self.kept_prompt(now).is_some();
         let short = now < active.step_began + SHORT_RUN;
         let lost = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
             _ => claim.runner.clone(),
         };
         let outcome = if loss == UpstreamLoss::Full { ReleaseOutcome::RunnerFull } else { outcome };
-        self.abort(outcome, out);
-        self.touched |= matches!(loss, UpstreamLoss::Broken | UpstreamLoss::Died);
+        self.abort(outcome, keeps_prompt, out);
+        self.touched |= !matches!(loss, UpstreamLoss::NothingSent | UpstreamLoss::Full);
         if loss == UpstreamLoss::Died {
             let weight = if claim.suspect { SUSPECT_LOSS } else { SHARED_LOSS };
             self.crashes += weight;
@@ -598,7 +648,7 @@
     }
 
     /// Stops the current attempt at every upstream where it may still run.
-    fn abort(&mut self, outcome: ReleaseOutcome, out: &mut Vec<FlowAction>) {
+    fn abort(&mut self, outcome: ReleaseOutcome, keeps_prompt: bool, out: &mut Vec<FlowAction>) {
         let stage = std::mem::replace(&mut self.stage, FlowStage::Ended);
         let FlowStage::Active(active) = stage else { return };
         let grant = active.grant;
@@ -606,6 +656,7 @@
         out.push(FlowAction::Abort {
             attempt: grant.claim.attempt,
             domain: active.domain,
+            keeps_prompt,
             outcome,
             upstreams: prefill.into_iter().chain([grant.runner_address]).collect(),
         });
@@ -618,7 +669,7 @@
         }
         self.touched |= matches!(self.stage, FlowStage::Active(_));
         self.withdraw(out);
-        self.abort(ReleaseOutcome::Stopped, out);
+        self.abort(ReleaseOutcome::Stopped, false, out);
         self.stage = FlowStage::Ended;
     }
 
@@ -633,7 +684,7 @@
         if now >= self.spec.deadline {
             self.touched |= matches!(self.stage, FlowStage::Active(_));
             self.withdraw(out);
-            self.abort(ReleaseOutcome::Stopped, out);
+            self.abort(ReleaseOutcome::Stopped, false, out);
             return self.refuse(Refusal::not_run(RefusalReason::DeadlinePassed), out);
         }
         match &mut self.stage {
@@ -653,7 +704,7 @@
                     true => ReleaseOutcome::RunnerLost,
                     false => ReleaseOutcome::PrefillLost,
                 };
-                self.lose(now, &attempt, UpstreamLoss::Broken, outcome, out);
+                self.lose(now, &attempt, UpstreamLoss::Stalled, outcome, out);
             }
             FlowStage::Active(_) | FlowStage::Ended => {}
         }
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -47,6 +47,8 @@
     pub avoid: Vec<UpstreamName>,
     /// How long the caller can still wait for the first token.
     pub first_token_within: Duration,
+    /// Whether a prefill worker still keeps the computed prompt of an earlier attempt.
+    pub prefilled: bool,
     /// Digests of the prompt's leading pieces, each covering all before it.
     pub prefix: Vec<u64>,
     /// The prompt's length.
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -540,7 +540,10 @@
             }
             ReleaseOutcome::RunnerLost => {
                 self.pool.note_failure(now, &claim.runner);
-                return self.orphan(now, attempt);
+                return match self.is_plain() {
+                    true => self.free(attempt),
+                    false => self.pool.orphan_run(now, attempt),
+                };
             }
             ReleaseOutcome::RunnerFull => self.pool.note_full(now, &claim.runner),
         }
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -131,11 +131,24 @@
 
     /// Marks a claim as orphaned: its upstreams must confirm a cancel before the slot is free.
     pub fn orphan(&mut self, now: Instant, attempt: &AttemptId) {
+        self.begin_cancel(now, attempt, true);
+    }
+
+    /// Like [`WorkerPool::orphan`], but leaves a prompt that is already computed where it is: the
+    /// next attempt may still fetch it, and its worker evicts it soon.
+    pub fn orphan_run(&mut self, now: Instant, attempt: &AttemptId) {
+        let held = self.claims.get(attempt);
+        let computing = held.is_some_and(|held| held.claim.phase == ClaimPhase::Prefill);
+        self.begin_cancel(now, attempt, computing);
+    }
+
+    fn begin_cancel(&mut self, now: Instant, attempt: &AttemptId, with_prefill: bool) {
         let Some(held) = self.claims.get_mut(attempt) else { return };
         if held.cancelling.is_some() {
             return;
         }
-        let names = std::iter::once(&held.claim.runner).chain(&held.claim.prefill);
+        let prefill = held.claim.prefill.as_ref().filter(|_| with_prefill);
+        let names = std::iter::once(&held.claim.runner).chain(prefill);
         held.cancelling = Some(names.map(|name| (name.clone(), now)).collect());
     }
 
@@ -227,14 +240,19 @@
         prefixes: &PrefixMemory,
     ) -> Option<GrantMessage> {
         let runner = self.choose_runner(now, ask, pieces)?;
-        let prefill = match self.needs_prefill() {
+        let prefill = match self.needs_prefill() && !ask.prefilled {
             true => Some(self.choose_prefill(now, ask, prefixes)?),
             false => None,
         };
+        let phase = match (prefill.is_some(), ask.prefilled) {
+            (true, _) => ClaimPhase::Prefill,
+            (false, true) => ClaimPhase::Transfer,
+            (false, false) => ClaimPhase::Run,
+        };
         let claim = SlotClaim {
             account: ask.account.clone(),
             attempt: ask.attempt.clone(),
-            phase: if prefill.is_some() { ClaimPhase::Prefill } else { ClaimPhase::Run },
+            phase,
             pieces,
             prefill: prefill.map(|worker| worker.spec.name.clone()),
             runner: runner.spec.name.clone(),
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -218,6 +218,7 @@
         crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
+        eviction: template.eviction,
         fingerprint,
         first_token_due: now + template.first_token_target,
         id: node.next_request(),
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -219,6 +219,7 @@
         crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
+        eviction: Duration::ZERO,
         fingerprint,
         first_token_due: now + template.first_token_target,
         id: node.next_request(),
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -204,7 +204,9 @@
             FlowAction::Release(domain, attempt, outcome) => {
                 release(&self.node, &self.service, &domain, attempt, outcome);
             }
-            FlowAction::Abort { domain, attempt, upstreams, outcome } => {
+            FlowAction::Abort { domain, attempt, keeps_prompt, upstreams, outcome } => {
+                self.stop_task();
+                self.count_waste(keeps_prompt);
                 self.abort(domain, attempt, upstreams, outcome);
             }
             FlowAction::StartPrefill(attempt, address) => self.start_prefill(attempt, address),
@@ -263,6 +265,15 @@
         }
     }
 
+    /// Counts a computed prompt that is thrown away before its first token.
+    fn count_waste(&mut self, keeps_prompt: bool) {
+        if self.prefilled && !keeps_prompt && self.latency.first.is_none() {
+            let tokens = u64::from(self.prompt.0);
+            counter!("apricotrun_wasted_prefill_tokens_total").increment(tokens);
+        }
+        self.prefilled &= keeps_prompt;
+    }
+
     fn stop_task(&mut self) {
         if let Some(task) = self.task.take() {
             task.abort();
@@ -276,12 +287,6 @@
         upstreams: Vec<SocketAddr>,
         outcome: ReleaseOutcome,
     ) {
-        self.stop_task();
-        if self.prefilled && self.latency.first.is_none() {
-            let tokens = u64::from(self.prompt.0);
-            counter!("apricotrun_wasted_prefill_tokens_total").increment(tokens);
-        }
-        self.prefilled = false;
         let plain = matches!(*self.work, UpstreamWork::Plain(_));
         if outcome != ReleaseOutcome::Stopped || plain {
             return release(&self.node, &self.service, &domain, attempt, outcome);
@@ -299,6 +304,8 @@
 
     fn start_prefill(&mut self, attempt: AttemptId, address: SocketAddr) {
         self.hop("prefill");
+        // A result that was kept for another try and is computed anew was wasted after all.
+        self.count_waste(false);
         let context = self.context(&attempt);
         let (node, events, work) = (self.node.clone(), self.events.clone(), self.work.clone());
         counter!("apricotrun_prefill_tokens_total").increment(u64::from(self.prompt.0));
--- a/standins/src/policy/report.rs
+++ b/standins/src/policy/report.rs
@@ -51,8 +51,6 @@
     pub prefilled: f64,
     /// Those of them whose result was thrown away.
     pub wasted: f64,
-    /// The longest time from a refusal's becoming certain until it was given, in seconds.
-    pub refusal_delay: f64,
     capacity: f64,
 }
 
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -47,6 +47,8 @@
 
 struct ActiveRequest {
     attempt: Option<AttemptId>,
+    /// When the prompt's computation ended.
+    computed: f64,
     flow: RequestFlow,
     from: u32,
     prefilled: bool,
@@ -220,6 +222,7 @@
         let flow = RequestFlow::new(self.instant(now), spec);
         let request = ActiveRequest {
             attempt: None,
+            computed: 0.0,
             flow,
             from: 0,
             prefilled: false,
@@ -242,6 +245,7 @@
             crashes: 0,
             deadline: at(self.mix.deadline),
             domains: vec![domain()],
+            eviction: Duration::from_secs_f64(self.mix.eviction),
             fingerprint: Fingerprint::of(&[&id.to_le_bytes()]),
             first_token_due: at(self.mix.first_target),
             id: RequestId { entry: self.entry.clone(), sequence: id },
@@ -328,7 +332,9 @@
             FlowAction::Release(_, attempt, outcome) => {
                 self.tell(now, ShardMessage::Release(attempt, outcome));
             }
-            FlowAction::Abort { attempt, outcome, .. } => self.abort(now, id, attempt, outcome),
+            FlowAction::Abort { attempt, keeps_prompt, outcome, .. } => {
+                self.abort(now, id, attempt, keeps_prompt, outcome);
+            }
             FlowAction::StartPrefill(attempt, _) => self.start_prefill(now, id, attempt),
             FlowAction::StartRun { attempt, address, from, .. } => {
                 self.start_transfer(now, id, attempt, address, from);
@@ -357,12 +363,19 @@
         }
     }
 
-    fn abort(&mut self, now: f64, id: u64, attempt: AttemptId, outcome: ReleaseOutcome) {
+    fn abort(
+        &mut self,
+        now: f64,
+        id: u64,
+        attempt: AttemptId,
+        keeps_prompt: bool,
+        outcome: ReleaseOutcome,
+    ) {
         let Some(request) = self.flows.get_mut(&id) else { return };
-        if request.prefilled {
+        if request.prefilled && !keeps_prompt {
             self.wasted += f64::from(self.records[request.record].arrival.prompt);
         }
-        request.prefilled = false;
+        request.prefilled &= keeps_prompt;
         if let Some(worker) = request.run.take() {
             self.decode[worker].stop(self.mix, now, id);
             self.predict(worker);
@@ -374,8 +387,13 @@
         let Some(request) = self.flows.get_mut(&id) else { return };
         let prompt = f64::from(self.records[request.record].arrival.prompt);
         self.prefilled += prompt;
+        // A result that was kept for another try and is computed anew was wasted after all.
+        if std::mem::take(&mut request.prefilled) {
+            self.wasted += prompt;
+        }
         let event = FlowEvent::PrefillDone(attempt, KvHandle(String::new()));
         let done = now + prompt / self.mix.prefill_rate;
+        request.computed = done;
         self.timeline.add(done, WorldEvent::ToFlow(id, event));
     }
 
@@ -402,6 +420,10 @@
             return;
         }
         let begin = fake.link_free.max(now);
+        if begin > request.computed + self.mix.eviction {
+            let failed = FlowEvent::RunFailed(attempt, UpstreamLoss::Broken);
+            return self.timeline.add(begin, WorldEvent::ToFlow(id, failed));
+        }
         fake.link_free = begin + f64::from(arrival.prompt) / self.mix.link_rate;
         let tokens = arrival.answer - from;
         let event = WorldEvent::Transferred { worker, attempt, tokens, from };
@@ -504,6 +526,7 @@
 
     fn finish(&mut self, now: f64, id: u64) {
         if let Some(request) = self.flows.remove(&id) {
+            debug_assert!(!request.prefilled);
             self.records[request.record].finished = Some(now);
             self.note_return(&request, true);
         }
@@ -511,6 +534,9 @@
 
     fn refuse(&mut self, now: f64, id: u64, refusal: &Refusal) {
         let Some(request) = self.flows.remove(&id) else { return };
+        if request.prefilled {
+            self.wasted += f64::from(self.records[request.record].arrival.prompt);
+        }
         self.note_return(&request, false);
         let wait = refusal.retry_after.map(|wait| wait.as_secs_f64());
         let back = wait.map(|wait| now + wait).filter(|back| *back < DURATION);
