--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -19,6 +19,11 @@
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(80);
 /// How long a suspected member has to object.
 pub const SUSPICION_TIME: Duration = Duration::from_millis(1_000);
+/// How many times longer others wait than the member that raised the suspicion, which hears the
+/// objection first.
+const HEARSAY_FACTOR: u32 = 5;
+/// How many suspected members are probed besides the regular one.
+const MAX_SUSPECT_PROBES: usize = 4;
 /// How many helpers are asked.
 const HELPERS: usize = 2;
 /// Every how many probes one goes to another failure domain.
@@ -64,6 +69,8 @@
 
 #[derive(Debug)]
 struct MemberEntry {
+    /// Whether this daemon raised the suspicion itself.
+    own_suspicion: bool,
     passes_left: u32,
     record: MemberRecord,
     since: Instant,
@@ -130,7 +137,7 @@
             MemberEvent::Revision(revision) => self.revision = revision,
             MemberEvent::Leave => {
                 self.me.state = MemberState::Leaving;
-                self.announce(&mut out);
+                self.announce(self.me.clone(), &mut out);
             }
             MemberEvent::Tick => self.tick(now, &mut out),
         }
@@ -261,7 +268,8 @@
     fn store(&mut self, now: Instant, record: MemberRecord) {
         let passes_left = self.passes();
         let host = record.daemon.host.clone();
-        self.members.insert(host, MemberEntry { passes_left, record, since: now });
+        let entry = MemberEntry { own_suspicion: false, passes_left, record, since: now };
+        self.members.insert(host, entry);
     }
 
     /// Objects to news that this daemon is suspected or dead.
@@ -295,10 +303,12 @@
         GossipMessage::Ping { nonce, revision: self.revision, updates: self.news() }
     }
 
-    fn announce(&mut self, out: &mut Vec<MemberAction>) {
-        let record = self.me.clone();
-        let local = self.others().filter(|other| other.state != MemberState::Dead);
-        let message = GossipMessage::Members(vec![record]);
+    /// Tells the members of the record's failure domain at once; the others hear it with probes.
+    fn announce(&self, record: MemberRecord, out: &mut Vec<MemberAction>) {
+        let local = self
+            .others()
+            .filter(|other| other.state != MemberState::Dead && other.domain == record.domain);
+        let message = GossipMessage::Members(vec![record.clone()]);
         out.extend(local.map(|other| MemberAction::Send(other.peer, message.clone())));
     }
 
@@ -315,6 +325,7 @@
         if now >= self.next_probe {
             self.next_probe = now + PROBE_PERIOD;
             self.fail_probe(now);
+            self.probe_suspects(out);
             self.start_probe(now, out);
         }
         if now >= self.next_seed {
@@ -361,18 +372,42 @@
             MemberState::Leaving => MemberState::Dead,
             MemberState::Suspect | MemberState::Dead => return,
         };
+        let host = record.daemon.host.clone();
         self.store(now, record);
+        if let Some(entry) = self.members.get_mut(&host) {
+            entry.own_suspicion = true;
+        }
+    }
+
+    /// Probes the suspected again, so that they hear of it and can object in time.
+    fn probe_suspects(&mut self, out: &mut Vec<MemberAction>) {
+        let suspects = self
+            .members
+            .values()
+            .filter(|entry| entry.record.state == MemberState::Suspect && entry.own_suspicion);
+        let suspects: Vec<_> =
+            suspects.take(MAX_SUSPECT_PROBES).map(|entry| entry.record.clone()).collect();
+        for record in suspects {
+            let nonce = self.rng.random();
+            let ping = self.ping(nonce);
+            let ping = self.with_record(ping, &record.daemon.host);
+            out.push(MemberAction::Send(record.peer, ping));
+        }
     }
 
     /// Declares dead who has been suspected too long, and forgets who is dead too long.
     fn bury(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
         let is_over = |entry: &&MemberEntry| {
-            entry.record.state == MemberState::Suspect && now >= entry.since + SUSPICION_TIME
+            let factor = if entry.own_suspicion { 1 } else { HEARSAY_FACTOR };
+            let over = now >= entry.since + SUSPICION_TIME * factor;
+            entry.record.state == MemberState::Suspect && over
         };
         let over: Vec<_> =
             self.members.values().filter(is_over).map(|e| e.record.clone()).collect();
         for record in over {
-            self.store(now, MemberRecord { state: MemberState::Dead, ..record });
+            let record = MemberRecord { state: MemberState::Dead, ..record };
+            self.store(now, record.clone());
+            self.announce(record, out);
             out.push(MemberAction::Changed);
         }
         self.members.retain(|_, entry| {
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -150,7 +150,9 @@
             }
             ShardEvent::Tick => self.bookings.prune(now),
         }
-        if self.role == ShardRole::Owner {
+        if self.role != ShardRole::Owner {
+            self.pool.forget_orphans(now);
+        } else {
             // What is late but finds room runs: only overload refuses it.
             self.schedule(now, &mut actions);
             self.expire(now, &mut actions);
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -12,6 +12,8 @@
 const MAX_REST: Duration = Duration::from_secs(8);
 /// How long an upstream that said it is full gets nothing.
 const FULL_REST: Duration = Duration::from_millis(100);
+/// How long a backup remembers what its owner has to cancel.
+const ORPHAN_MEMORY: Duration = Duration::from_secs(60);
 /// How long after a failed cancel the next one is sent.
 const CANCEL_RETRY: Duration = Duration::from_millis(500);
 
@@ -173,6 +175,19 @@
         due
     }
 
+    /// Drops orphans that this daemon does not cancel itself, since it is not the owner.
+    pub fn forget_orphans(&mut self, now: Instant) {
+        let is_old = |held: &HeldClaim| {
+            let since = held.cancelling.as_ref().and_then(|open| open.values().max());
+            since.is_some_and(|since| now >= *since + ORPHAN_MEMORY)
+        };
+        let old = self.claims.iter().filter(|(_, held)| is_old(held));
+        let old: Vec<_> = old.map(|(attempt, _)| attempt.clone()).collect();
+        for attempt in old {
+            self.remove(&attempt);
+        }
+    }
+
     /// Notes that an upstream confirmed a cancel. Returns whether the claim is free now.
     pub fn confirm_cancel(&mut self, attempt: &AttemptId, upstream: &UpstreamName) -> bool {
         let Some(held) = self.claims.get_mut(attempt) else { return false };
--- /dev/null
+++ b/tests/codec.rs
@@ -0,0 +1,92 @@
+//! What comes from the network and is not ours is dropped.
+
+use apricotrun::coordination::messages::{ConfigMessage, GossipMessage, PeerMessage};
+use apricotrun::prelude::*;
+use apricotrun::protocol::codec::{
+    CodecError, FrameContext, MAX_DATAGRAM_BYTES, PeerFrame, PeerKey, decode_datagram,
+    encode_datagram,
+};
+use apricotrun::protocol::return_pass::{is_due, issue_pass};
+use proptest::prelude::*;
+use std::time::SystemTime;
+
+fn key(digit: &str) -> PeerKey {
+    digit.repeat(64).parse().expect("a key")
+}
+
+fn ping() -> GossipMessage {
+    GossipMessage::Ping { nonce: 5, revision: Revision(3), updates: Vec::new() }
+}
+
+fn frame() -> PeerFrame {
+    PeerFrame {
+        from: "a.1".parse().expect("an id"),
+        message: PeerMessage::Config(ConfigMessage::Have(Revision(4))),
+        to: "b".parse().expect("a name"),
+    }
+}
+
+#[test]
+fn datagram_survives_the_way() {
+    let bytes = encode_datagram(&key("a"), &ping()).expect("bytes");
+    assert_eq!(decode_datagram(&key("a"), &bytes), Ok(ping()));
+}
+
+#[test]
+fn datagram_of_another_deployment_is_dropped() {
+    let bytes = encode_datagram(&key("b"), &ping()).expect("bytes");
+    assert_eq!(decode_datagram(&key("a"), &bytes), Err(CodecError::Tag));
+}
+
+#[test]
+fn datagram_of_another_version_is_dropped() {
+    let mut bytes = encode_datagram(&key("a"), &ping()).expect("bytes");
+    bytes[0] += 1;
+    assert_eq!(decode_datagram(&key("a"), &bytes), Err(CodecError::Version));
+}
+
+#[test]
+fn oversized_datagram_is_dropped() {
+    let bytes = vec![1; MAX_DATAGRAM_BYTES + 1];
+    assert_eq!(decode_datagram(&key("a"), &bytes), Err(CodecError::TooLarge));
+}
+
+#[test]
+fn recorded_frame_is_worth_nothing_on_another_connection_or_place() {
+    let (mut sender, mut receiver) = (FrameContext::new([1; 16]), FrameContext::new([1; 16]));
+    let bytes = sender.encode(&key("a"), &frame()).expect("bytes");
+    assert_eq!(receiver.decode(&key("a"), &bytes), Ok(frame()));
+    assert_eq!(receiver.decode(&key("a"), &bytes), Err(CodecError::Tag), "the same again");
+    let mut other = FrameContext::new([2; 16]);
+    assert_eq!(other.decode(&key("a"), &bytes), Err(CodecError::Tag), "another connection");
+}
+
+#[test]
+fn return_pass_counts_for_its_account_at_its_time() {
+    let at = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let (desk, field) = ("desk".parse().expect("a name"), "field".parse().expect("a name"));
+    let pass = issue_pass(&key("a"), &desk, at);
+    assert!(is_due(&key("a"), &desk, &pass, at));
+    assert!(!is_due(&key("a"), &field, &pass, at));
+    assert!(!is_due(&key("b"), &desk, &pass, at));
+    assert!(!is_due(&key("a"), &desk, &pass, at - Duration::from_secs(1)), "too early");
+    assert!(!is_due(&key("a"), &desk, &pass, at + Duration::from_secs(60)), "too late");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_bytes_are_read_without_harm(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(decode_datagram(&key("a"), &bytes).is_err());
+        prop_assert!(FrameContext::new([1; 16]).decode(&key("a"), &bytes).is_err());
+    }
+
+    #[test]
+    fn changed_datagram_is_dropped(place in 0usize..40, bit in 0u8..8) {
+        let mut bytes = encode_datagram(&key("a"), &ping()).expect("bytes");
+        let place = place % bytes.len();
+        bytes[place] ^= 1 << bit;
+        prop_assert!(decode_datagram(&key("a"), &bytes).is_err());
+    }
+}
--- /dev/null
+++ b/tests/config_keeper.rs
@@ -0,0 +1,271 @@
+//! Which configuration is in force, as events; and edits against a store that loses answers and
+//! lets writes land late.
+
+use apricotrun::coordination::config::{ConfigAction, ConfigEvent, ConfigKeeper};
+use apricotrun::coordination::messages::ConfigMessage;
+use apricotrun::coordination::store::{
+    DocumentEdit, EditOutcome, HEAD_KEY, KeyStore, StoreError, StoreVersion, StoredValue,
+    put_document, read_documents, read_head,
+};
+use apricotrun::prelude::*;
+use apricotrun::state::fleet::{DocumentName, StoredDocument, key_digest};
+use futures::FutureExt;
+use futures::executor::block_on;
+use futures::future::BoxFuture;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+fn account(name: &str, share: f64) -> (DocumentName, String) {
+    let text = format!(
+        "account = {name:?}\nkey_digest = {:?}\n[services.llm]\nshare = {share:?}\n",
+        key_digest(name)
+    );
+    (format!("account/{name}").parse().expect("a name"), text)
+}
+
+fn documents(revision: u64, share: f64) -> BTreeMap<DocumentName, StoredDocument> {
+    let (name, text) = account("desk", share);
+    BTreeMap::from([(name, StoredDocument { revision: Revision(revision), text })])
+}
+
+fn from_store(since: u64, revision: u64, share: f64) -> ConfigEvent {
+    let documents = documents(revision, share);
+    ConfigEvent::Store { documents, revision: Revision(revision), since: Revision(since) }
+}
+
+fn delta(since: u64, revision: u64, share: f64) -> ConfigEvent {
+    let message = ConfigMessage::Delta {
+        documents: documents(revision, share),
+        revision: Revision(revision),
+        since: Revision(since),
+    };
+    ConfigEvent::Peer(peer(), message)
+}
+
+fn peer() -> DaemonId {
+    "b.1".parse().expect("an id")
+}
+
+fn share_in_force(keeper: &ConfigKeeper) -> f64 {
+    let account = keeper.current().accounts.values().next().expect("an account");
+    account.services.values().next().expect("a grant").share
+}
+
+#[test]
+fn only_a_higher_revision_is_taken_from_store_and_peer() {
+    let now = Instant::now();
+    let mut keeper = ConfigKeeper::default();
+    assert!(!keeper.handle(now, from_store(0, 5, 0.5)).is_empty());
+    for event in [from_store(0, 4, 0.1), from_store(0, 5, 0.1), delta(0, 4, 0.1), delta(0, 5, 0.1)]
+    {
+        assert!(keeper.handle(now, event).is_empty());
+        assert_eq!((keeper.current().revision, share_in_force(&keeper)), (Revision(5), 0.5));
+    }
+    keeper.handle(now, delta(5, 6, 0.6));
+    assert_eq!((keeper.current().revision, share_in_force(&keeper)), (Revision(6), 0.6));
+}
+
+#[test]
+fn difference_to_a_state_that_is_not_here_is_not_taken() {
+    let mut keeper = ConfigKeeper::default();
+    assert!(keeper.handle(Instant::now(), delta(3, 6, 0.6)).is_empty());
+    assert_eq!(keeper.current().revision, Revision(0));
+}
+
+#[test]
+fn invalid_configuration_leaves_the_last_good_one() {
+    let now = Instant::now();
+    let mut keeper = ConfigKeeper::default();
+    keeper.handle(now, from_store(0, 5, 0.5));
+    let actions = keeper.handle(now, from_store(5, 6, 7.0));
+    assert!(matches!(actions.as_slice(), [ConfigAction::Reject(Revision(6), _)]));
+    assert_eq!(share_in_force(&keeper), 0.5);
+    let actions = keeper.handle(now, ConfigEvent::PeerHas(peer(), Revision(6)));
+    assert!(actions.is_empty(), "the same invalid revision is not fetched again");
+    keeper.handle(now, delta(5, 7, 0.7));
+    assert_eq!(share_in_force(&keeper), 0.7);
+}
+
+#[test]
+fn newer_peer_is_asked_once_and_another_after_silence() {
+    let now = Instant::now();
+    let mut keeper = ConfigKeeper::default();
+    let has = |revision| ConfigEvent::PeerHas(peer(), Revision(revision));
+    let want = [ConfigAction::Send(peer(), ConfigMessage::Want(Revision(0)))];
+    assert_eq!(keeper.handle(now, has(5)), want);
+    assert!(keeper.handle(now, has(5)).is_empty());
+    assert_eq!(keeper.handle(now + Duration::from_secs(2), has(5)), want);
+}
+
+#[test]
+fn peer_gets_exactly_what_it_lacks() {
+    let now = Instant::now();
+    let mut keeper = ConfigKeeper::default();
+    keeper.handle(now, from_store(0, 5, 0.5));
+    let want = |since| ConfigEvent::Peer(peer(), ConfigMessage::Want(Revision(since)));
+    let actions = keeper.handle(now, want(4));
+    let [ConfigAction::Send(_, ConfigMessage::Delta { documents, .. })] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(documents.len(), 1);
+    assert!(keeper.handle(now, want(5)).is_empty());
+}
+
+/// A store in memory. Faults are taken in order, one a write of the head.
+#[derive(Default)]
+struct FakeStore {
+    faults: Mutex<Vec<WriteFault>>,
+    late: Mutex<Option<(Vec<u8>, StoreVersion)>>,
+    values: Mutex<BTreeMap<String, (u64, Vec<u8>)>>,
+}
+
+#[derive(Clone, Copy)]
+enum WriteFault {
+    /// The write takes effect and its answer is lost.
+    AnswerLost,
+    /// The write gets no answer and lands before the next write.
+    LandsLate,
+    /// The write has no effect.
+    Down,
+}
+
+impl FakeStore {
+    fn with(faults: &[WriteFault]) -> Self {
+        Self { faults: Mutex::new(faults.iter().rev().copied().collect()), ..Self::default() }
+    }
+
+    fn write(&self, key: &str, bytes: Vec<u8>, expected: StoreVersion) -> bool {
+        let mut values = self.values.lock().expect("a lock");
+        if values.get(key).map_or(0, |(version, _)| *version) != expected.0 {
+            return false;
+        }
+        let version = values.values().map(|(version, _)| *version).max().unwrap_or(0) + 1;
+        values.insert(key.to_owned(), (version, bytes));
+        true
+    }
+
+    fn put_head(&self, bytes: Vec<u8>, expected: StoreVersion) -> Result<bool, StoreError> {
+        if let Some((bytes, expected)) = self.late.lock().expect("a lock").take() {
+            self.write(HEAD_KEY, bytes, expected);
+        }
+        match self.faults.lock().expect("a lock").pop() {
+            None => Ok(self.write(HEAD_KEY, bytes, expected)),
+            Some(WriteFault::AnswerLost) => {
+                self.write(HEAD_KEY, bytes, expected);
+                Err(StoreError::Unknown("lost".to_owned()))
+            }
+            Some(WriteFault::LandsLate) => {
+                *self.late.lock().expect("a lock") = Some((bytes, expected));
+                Err(StoreError::Unknown("late".to_owned()))
+            }
+            Some(WriteFault::Down) => Err(StoreError::Unreachable("down".to_owned())),
+        }
+    }
+}
+
+impl KeyStore for FakeStore {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
+        let found = self.values.lock().expect("a lock").get(key).cloned();
+        let value = found.map(|(version, bytes)| {
+            let version = StoreVersion(version);
+            StoredValue { bytes, index: version, version }
+        });
+        async move { Ok(value) }.boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        bytes: Vec<u8>,
+        expected: StoreVersion,
+    ) -> BoxFuture<'a, Result<bool, StoreError>> {
+        let result = match key {
+            HEAD_KEY => self.put_head(bytes, expected),
+            _ => Ok(self.write(key, bytes, expected)),
+        };
+        async move { result }.boxed()
+    }
+
+    fn remove<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(), StoreError>> {
+        self.values.lock().expect("a lock").remove(key);
+        async move { Ok(()) }.boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        _seen: StoreVersion,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
+        self.get(key)
+    }
+}
+
+fn edit(id: &str, base: u64, share: f64) -> DocumentEdit {
+    let (name, text) = account("desk", share);
+    DocumentEdit {
+        author: "test".to_owned(),
+        base: Revision(base),
+        floor: Revision(0),
+        id: id.to_owned(),
+        name,
+        text,
+    }
+}
+
+fn put(store: &FakeStore, edit: &DocumentEdit) -> Result<EditOutcome, StoreError> {
+    block_on(put_document(store, edit))
+}
+
+fn current_text(store: &FakeStore) -> String {
+    let (head, _) = block_on(read_head(store)).expect("a head");
+    let documents = block_on(read_documents(store, &head, Revision(0))).expect("documents");
+    documents.into_values().next().expect("a document").text
+}
+
+#[test]
+fn edit_with_a_lost_answer_takes_effect_once() {
+    let store = FakeStore::with(&[WriteFault::AnswerLost]);
+    assert_eq!(put(&store, &edit("e1", 0, 0.1)), Ok(EditOutcome::Accepted(Revision(1))));
+    assert_eq!(current_text(&store), edit("e1", 0, 0.1).text);
+}
+
+#[test]
+fn edit_that_lands_late_takes_effect_once() {
+    let store = FakeStore::with(&[WriteFault::LandsLate]);
+    assert_eq!(put(&store, &edit("e1", 0, 0.1)), Ok(EditOutcome::Accepted(Revision(1))));
+    let (head, _) = block_on(read_head(&store)).expect("a head");
+    assert_eq!(head.revision, Revision(1));
+}
+
+#[test]
+fn failed_edit_changes_nothing() {
+    let store = FakeStore::with(&[WriteFault::Down]);
+    assert!(matches!(put(&store, &edit("e1", 0, 0.1)), Err(StoreError::Unreachable(_))));
+    let (head, _) = block_on(read_head(&store)).expect("a head");
+    assert_eq!(head.revision, Revision(0));
+}
+
+#[test]
+fn second_edit_of_the_same_text_conflicts_and_the_first_one_stays() {
+    let store = FakeStore::default();
+    assert_eq!(put(&store, &edit("e1", 0, 0.1)), Ok(EditOutcome::Accepted(Revision(1))));
+    assert_eq!(put(&store, &edit("e2", 0, 0.2)), Ok(EditOutcome::Conflict(Revision(1))));
+    assert_eq!(current_text(&store), edit("e1", 0, 0.1).text);
+}
+
+#[test]
+fn edits_of_two_authors_that_compute_the_same_revision_keep_their_own_texts() {
+    // The first author's document is written, and before its head is, the second one's whole edit.
+    let store = FakeStore::with(&[WriteFault::Down]);
+    assert!(put(&store, &edit("e1", 0, 0.1)).is_err());
+    assert_eq!(put(&store, &edit("e2", 0, 0.2)), Ok(EditOutcome::Accepted(Revision(1))));
+    assert_eq!(current_text(&store), edit("e2", 0, 0.2).text);
+}
+
+#[test]
+fn edit_is_above_what_daemons_already_have() {
+    let store = FakeStore::default();
+    let edit = DocumentEdit { floor: Revision(41), ..edit("e1", 0, 0.1) };
+    assert_eq!(put(&store, &edit), Ok(EditOutcome::Accepted(Revision(42))));
+}
--- /dev/null
+++ b/tests/flow.rs
@@ -0,0 +1,335 @@
+//! Failures of one request as lists of events against the real flow.
+
+use apricotrun::coordination::flow::{
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
+};
+use apricotrun::coordination::messages::{
+    ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use apricotrun::prelude::*;
+use apricotrun::state::clock::ManualClock;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+struct Bench {
+    clock: ManualClock,
+    flow: RequestFlow,
+    home: DomainName,
+}
+
+fn request() -> RequestId {
+    RequestId { entry: "a.1".parse().expect("an id"), sequence: 1 }
+}
+
+fn attempt(number: u32) -> AttemptId {
+    AttemptId { request: request(), attempt: number }
+}
+
+impl Bench {
+    fn new(change: impl FnOnce(&mut RequestSpec)) -> Self {
+        let clock = ManualClock::default();
+        let now = clock.now();
+        let domain = |name: &str| name.parse::<DomainName>().expect("a name");
+        let mut spec = RequestSpec {
+            account: "desk".parse().expect("a name"),
+            answer: Tokens(100),
+            between_token_target: MILLI * 30,
+            crashes: 0,
+            deadline: now + SECOND * 60,
+            domains: vec![domain("tyrol-a"), domain("tyrol-b"), domain("tyrol-c")],
+            eviction: MILLI * 800,
+            fingerprint: Fingerprint::of(&[b"body"]),
+            first_token_due: now + SECOND * 2,
+            id: request(),
+            link_time: MILLI * 10,
+            prefill_time: MILLI * 100,
+            prefix: Vec::new(),
+            prompt: Tokens(1_000),
+            repeatable: true,
+            returning: false,
+        };
+        change(&mut spec);
+        Self { flow: RequestFlow::new(now, spec), clock, home: domain("tyrol-a") }
+    }
+
+    fn plain(repeatable: bool) -> Self {
+        Self::new(|spec| {
+            spec.between_token_target = Duration::ZERO;
+            spec.repeatable = repeatable;
+        })
+    }
+
+    fn feed(&mut self, event: FlowEvent) -> Vec<FlowAction> {
+        self.flow.handle(self.clock.now(), event)
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<FlowAction> {
+        self.clock.advance(time);
+        self.feed(FlowEvent::Tick)
+    }
+
+    fn owner(&mut self, message: ShardMessage) -> Vec<FlowAction> {
+        self.feed(FlowEvent::Owner(self.home.clone(), message))
+    }
+
+    fn grant(&mut self, number: u32, runner: &str, phase: ClaimPhase) -> Vec<FlowAction> {
+        self.owner(ShardMessage::Grant(grant(number, runner, phase)))
+    }
+
+    /// Brings the request to the point where its first attempt decodes.
+    fn decode(&mut self) {
+        self.feed(FlowEvent::Start);
+        self.grant(1, "d0", ClaimPhase::Prefill);
+        self.feed(FlowEvent::PrefillDone(attempt(1), KvHandle("kv".to_owned())));
+    }
+
+    fn token(&mut self, number: u32, marked: &str, index: u32) -> Vec<FlowAction> {
+        let attempt = attempt(number);
+        let (marked, text) = (marked.to_owned(), format!("t{index}"));
+        self.feed(FlowEvent::Token { attempt, index, marked, text })
+    }
+
+    fn own_token(&mut self, number: u32, index: u32) -> Vec<FlowAction> {
+        self.token(number, &attempt(number).to_string(), index)
+    }
+}
+
+fn grant(number: u32, runner: &str, phase: ClaimPhase) -> GrantMessage {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let prefill = (phase == ClaimPhase::Prefill).then(|| "p0".parse().expect("a name"));
+    GrantMessage {
+        prefill_address: prefill.is_some().then_some(address),
+        claim: SlotClaim {
+            account: "desk".parse().expect("a name"),
+            attempt: attempt(number),
+            phase,
+            pieces: Pieces(1),
+            prefill,
+            runner: runner.parse().expect("a name"),
+            suspect: false,
+        },
+        runner_address: address,
+    }
+}
+
+fn refusal_of(actions: &[FlowAction]) -> Option<Refusal> {
+    actions.iter().find_map(|action| match action {
+        FlowAction::Refuse(refusal) => Some(*refusal),
+        _ => None,
+    })
+}
+
+fn emitted(actions: &[FlowAction]) -> Vec<String> {
+    let text = |action: &FlowAction| match action {
+        FlowAction::Emit(text) => Some(text.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(text).collect()
+}
+
+fn asks(actions: &[FlowAction]) -> Vec<(DomainName, AttemptId, bool)> {
+    let ask = |action: &FlowAction| match action {
+        FlowAction::Tell(domain, ShardMessage::Ask(ask)) => {
+            Some((domain.clone(), ask.attempt.clone(), ask.prefilled))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(ask).collect()
+}
+
+#[test]
+fn tokens_pass_in_order_once_and_only_of_this_attempt() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    assert_eq!(emitted(&bench.own_token(1, 0)), ["t0"]);
+    assert_eq!(bench.own_token(1, 0), [FlowAction::Dropped], "doubled");
+    assert_eq!(bench.token(1, "b.1.7.1", 1), [FlowAction::Dropped], "of another request");
+    assert_eq!(bench.own_token(2, 1), [FlowAction::Dropped], "of an attempt to come");
+    assert_eq!(emitted(&bench.own_token(1, 1)), ["t1"]);
+}
+
+#[test]
+fn gap_in_the_tokens_is_filled_elsewhere() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    bench.own_token(1, 0);
+    let actions = bench.own_token(1, 2);
+    assert!(emitted(&actions).is_empty());
+    assert_eq!(asks(&actions)[0].1, attempt(2));
+    let actions = bench.grant(2, "d1", ClaimPhase::Prefill);
+    assert!(!actions.is_empty());
+    let handle = KvHandle("kv2".to_owned());
+    let actions = bench.feed(FlowEvent::PrefillDone(attempt(2), handle));
+    let from = actions.iter().find_map(|action| match action {
+        FlowAction::StartRun { from, .. } => Some(*from),
+        _ => None,
+    });
+    assert_eq!(from, Some(1), "the answer goes on with the token that the caller lacks");
+    assert_eq!(bench.own_token(1, 1), [FlowAction::Dropped], "the old attempt is not heard");
+}
+
+#[test]
+fn end_marker_with_a_wrong_count_is_no_end() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    bench.own_token(1, 0);
+    let actions = bench.feed(FlowEvent::RunEnded(attempt(1), 5));
+    assert!(!actions.contains(&FlowAction::Finish));
+    assert_eq!(asks(&actions).len(), 1);
+}
+
+#[test]
+fn second_grant_of_another_owner_is_given_back() {
+    let mut bench = Bench::new(|_| {});
+    bench.feed(FlowEvent::Start);
+    bench.grant(1, "d0", ClaimPhase::Prefill);
+    assert!(bench.grant(1, "d0", ClaimPhase::Prefill).is_empty(), "the same again");
+    let actions = bench.grant(1, "d1", ClaimPhase::Prefill);
+    let release = ShardMessage::Release(attempt(1), ReleaseOutcome::Stopped);
+    assert_eq!(actions, [FlowAction::Tell(bench.home.clone(), release)]);
+}
+
+#[test]
+fn grant_after_the_caller_left_is_given_back() {
+    let mut bench = Bench::new(|_| {});
+    bench.feed(FlowEvent::Start);
+    let actions = bench.feed(FlowEvent::CallerGone);
+    let withdraw = ShardMessage::Withdraw(attempt(1));
+    assert_eq!(actions, [FlowAction::Tell(bench.home.clone(), withdraw)]);
+    let actions = bench.grant(1, "d0", ClaimPhase::Prefill);
+    let release = ShardMessage::Release(attempt(1), ReleaseOutcome::Stopped);
+    assert_eq!(actions, [FlowAction::Tell(bench.home.clone(), release)]);
+}
+
+#[test]
+fn caller_gone_cancels_at_both_upstreams() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    let actions = bench.feed(FlowEvent::CallerGone);
+    let [FlowAction::Abort { upstreams, outcome, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((upstreams.len(), *outcome), (2, ReleaseOutcome::Stopped));
+    assert!(bench.flow.is_ended());
+}
+
+#[test]
+fn silent_owner_is_asked_again_and_then_refused() {
+    let mut bench = Bench::new(|_| {});
+    bench.feed(FlowEvent::Start);
+    assert_eq!(asks(&bench.pass(MILLI * 250)), [(bench.home.clone(), attempt(1), false)]);
+    assert_eq!(asks(&bench.feed(FlowEvent::OwnerChanged)).len(), 1);
+    let refusal = refusal_of(&bench.pass(SECOND * 4)).expect("a refusal");
+    assert_eq!((refusal.reason, refusal.verdict), (RefusalReason::NoOwner, Verdict::NotRun));
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn overload_spills_to_one_other_failure_domain() {
+    let mut bench = Bench::new(|_| {});
+    bench.feed(FlowEvent::Start);
+    let refusal = Refusal::not_run(RefusalReason::Overloaded).after(SECOND * 3);
+    let actions = bench.owner(ShardMessage::Refuse(attempt(1), refusal));
+    assert_eq!(asks(&actions), [("tyrol-b".parse().expect("a name"), attempt(2), false)]);
+    let other = Refusal::not_run(RefusalReason::Overloaded).after(SECOND * 9);
+    let actions = bench.owner(ShardMessage::Refuse(attempt(2), other));
+    assert_eq!(refusal_of(&actions), Some(refusal), "the local time to come back counts");
+}
+
+#[test]
+fn stalled_transfer_moves_the_same_result_elsewhere() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    let actions = bench.pass(MILLI * 500);
+    assert_eq!(asks(&actions), [(bench.home.clone(), attempt(2), true)]);
+    let actions = bench.grant(2, "d1", ClaimPhase::Transfer);
+    let handle = actions.iter().find_map(|action| match action {
+        FlowAction::StartRun { handle, .. } => handle.clone(),
+        _ => None,
+    });
+    assert_eq!(handle, Some(KvHandle("kv".to_owned())));
+}
+
+#[test]
+fn evicted_result_is_computed_again() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    bench.pass(MILLI * 500);
+    bench.clock.advance(MILLI * 300);
+    let actions = bench.grant(2, "d1", ClaimPhase::Transfer);
+    assert_eq!(asks(&actions), [(bench.home.clone(), attempt(3), false)]);
+}
+
+#[test]
+fn two_lone_losses_refuse_the_request_as_dangerous() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    let actions = bench.feed(FlowEvent::RunFailed(attempt(1), UpstreamLoss::Died));
+    assert!(actions.iter().any(|action| matches!(action, FlowAction::Report(_))));
+    let mut second = grant(2, "d1", ClaimPhase::Prefill);
+    second.claim.suspect = true;
+    bench.owner(ShardMessage::Grant(second));
+    let actions = bench.feed(FlowEvent::PrefillFailed(attempt(2), UpstreamLoss::Died));
+    let refusal = refusal_of(&actions).expect("a refusal");
+    assert_eq!(refusal.reason, RefusalReason::CrashesUpstream);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+}
+
+#[test]
+fn known_crasher_is_refused_before_it_runs() {
+    let mut bench = Bench::new(|spec| spec.crashes = 3);
+    let refusal = refusal_of(&bench.feed(FlowEvent::Start)).expect("a refusal");
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+}
+
+#[test]
+fn call_that_may_not_be_repeated_is_not_sent_twice() {
+    let mut bench = Bench::plain(false);
+    bench.feed(FlowEvent::Start);
+    bench.grant(1, "d0", ClaimPhase::Run);
+    let actions = bench.feed(FlowEvent::RunFailed(attempt(1), UpstreamLoss::NothingSent));
+    assert_eq!(asks(&actions).len(), 1, "nothing was sent: another upstream may run it");
+    bench.grant(2, "d1", ClaimPhase::Run);
+    let actions = bench.feed(FlowEvent::RunFailed(attempt(2), UpstreamLoss::Broken));
+    assert!(asks(&actions).is_empty());
+    assert_eq!(refusal_of(&actions).expect("a refusal").verdict, Verdict::MayHaveRun);
+}
+
+#[test]
+fn call_that_may_not_be_repeated_outlives_its_caller() {
+    let mut bench = Bench::plain(false);
+    bench.feed(FlowEvent::Start);
+    bench.grant(1, "d0", ClaimPhase::Run);
+    assert!(bench.feed(FlowEvent::CallerGone).is_empty());
+    let actions = bench.feed(FlowEvent::CallAnswered(attempt(1)));
+    assert!(actions.contains(&FlowAction::Finish));
+}
+
+#[test]
+fn deadline_gives_the_final_answer_at_once() {
+    let mut bench = Bench::plain(false);
+    bench.feed(FlowEvent::Start);
+    bench.grant(1, "d0", ClaimPhase::Run);
+    let actions = bench.pass(SECOND * 60);
+    let refusal = refusal_of(&actions).expect("a refusal");
+    assert_eq!(refusal.reason, RefusalReason::DeadlinePassed);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun, "it may still run at the upstream");
+}
+
+#[test]
+fn request_ends_exactly_once() {
+    let mut bench = Bench::new(|_| {});
+    bench.decode();
+    bench.own_token(1, 0);
+    let actions = bench.feed(FlowEvent::RunEnded(attempt(1), 1));
+    assert_eq!(actions.iter().filter(|action| **action == FlowAction::Finish).count(), 1);
+    for event in [
+        FlowEvent::RunEnded(attempt(1), 1),
+        FlowEvent::RunFailed(attempt(1), UpstreamLoss::Died),
+        FlowEvent::CallerGone,
+        FlowEvent::Tick,
+    ] {
+        assert!(bench.feed(event).is_empty());
+    }
+}
--- /dev/null
+++ b/tests/shard.rs
@@ -0,0 +1,424 @@
+//! Failures of a shard as lists of events against the real ledger.
+
+use apricotrun::coordination::claims::digest_claims;
+use apricotrun::coordination::messages::{
+    AskMessage, ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
+use apricotrun::prelude::*;
+use apricotrun::state::clock::ManualClock;
+use apricotrun::state::fleet::AccountGrant;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+fn daemon(name: &str) -> DaemonId {
+    format!("{name}.1").parse().expect("an id")
+}
+
+fn attempt(entry: &str, sequence: u64) -> AttemptId {
+    AttemptId { request: RequestId { entry: daemon(entry), sequence }, attempt: 1 }
+}
+
+fn account(name: &str) -> AccountName {
+    name.parse().expect("a name")
+}
+
+/// A ledger with one prefill worker of two slots and two decode workers of two slots each.
+struct Bench {
+    clock: ManualClock,
+    ledger: ShardLedger,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut bench = Self {
+            clock: ManualClock::default(),
+            ledger: ShardLedger::new("tyrol-a".parse().expect("a name")),
+        };
+        bench.configure(|_| {});
+        bench
+    }
+
+    /// Returns the ledger of an owner that knows all its entries.
+    fn owner(entries: &[&str]) -> Self {
+        let mut bench = Self::new();
+        bench.members(entries, ShardRole::Owner);
+        for entry in entries {
+            bench.say(entry, ShardMessage::Summary { count: 0, digest: 0 });
+        }
+        bench
+    }
+
+    fn configure(&mut self, change: impl FnOnce(&mut ServiceTemplate)) -> Vec<ShardAction> {
+        let upstream = |name: &str, role, slots| UpstreamSpec {
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: "tyrol-a".parse().expect("a name"),
+            leaving: false,
+            name: name.parse().expect("a name"),
+            pieces: Some(Pieces(4)),
+            role,
+            slots: Slots(slots),
+        };
+        let mut template = ServiceTemplate {
+            between_token_target: MILLI * 30,
+            deadline: SECOND * 60,
+            eviction: MILLI * 800,
+            first_token_target: SECOND * 2,
+            link_tokens_per_second: TokenRate(100_000.0),
+            models: BTreeSet::new(),
+            non_idempotent: Vec::new(),
+            piece_tokens: Tokens(2_000),
+            prefill_tokens_per_second: TokenRate(10_000.0),
+            retry_window: SECOND * 600,
+            service: "llm".parse().expect("a name"),
+            upstreams: vec![
+                upstream("p0", UpstreamRole::Prefill, 2),
+                upstream("d0", UpstreamRole::Decode, 2),
+                upstream("d1", UpstreamRole::Decode, 2),
+            ],
+        };
+        change(&mut template);
+        let grant = AccountGrant { ceiling: 1.0, max_waiting: 50, priority: 0, share: 0.5 };
+        let grants = BTreeMap::from([(account("desk"), grant), (account("field"), grant)]);
+        self.feed(ShardEvent::Configure(Arc::new(template), grants))
+    }
+
+    fn feed(&mut self, event: ShardEvent) -> Vec<ShardAction> {
+        let actions = self.ledger.handle(self.clock.now(), event);
+        assert!(self.ledger.is_conserved(), "slots and memory equal the claims");
+        actions
+    }
+
+    fn members(&mut self, entries: &[&str], role: ShardRole) -> Vec<ShardAction> {
+        let live: BTreeSet<_> = entries.iter().map(|entry| daemon(entry)).collect();
+        self.feed(ShardEvent::Members { live: live.clone(), local: live, role })
+    }
+
+    fn say(&mut self, from: &str, message: ShardMessage) -> Vec<ShardAction> {
+        self.feed(ShardEvent::Message(daemon(from), message))
+    }
+
+    fn ask(&mut self, entry: &str, sequence: u64) -> Vec<ShardAction> {
+        self.say(entry, ShardMessage::Ask(ask_of(entry, sequence, "desk")))
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<ShardAction> {
+        self.clock.advance(time);
+        self.feed(ShardEvent::Tick)
+    }
+
+    /// Moves a granted attempt out of its prefill slot.
+    fn run(&mut self, grant: &GrantMessage) -> Vec<ShardAction> {
+        let claim = SlotClaim { phase: ClaimPhase::Run, ..grant.claim.clone() };
+        let entry = claim.attempt.request.entry.host.to_string();
+        self.say(&entry, ShardMessage::Claim(claim))
+    }
+
+    /// Fills all four decode slots and returns the grants.
+    fn fill(&mut self, entry: &str) -> Vec<GrantMessage> {
+        let grants = (1..=4).map(|sequence| {
+            let grant = granted(&self.ask(entry, sequence)).remove(0);
+            self.run(&grant);
+            grant
+        });
+        grants.collect()
+    }
+}
+
+fn ask_of(entry: &str, sequence: u64, name: &str) -> AskMessage {
+    AskMessage {
+        account: account(name),
+        answer: Tokens(100),
+        attempt: attempt(entry, sequence),
+        avoid: Vec::new(),
+        first_token_within: SECOND * 2,
+        prefilled: false,
+        prefix: Vec::new(),
+        prompt: Tokens(1_000),
+        resuming: false,
+        returning: false,
+        suspect: false,
+    }
+}
+
+fn claim_of(entry: &str) -> SlotClaim {
+    SlotClaim {
+        account: account("desk"),
+        attempt: attempt(entry, 1),
+        phase: ClaimPhase::Run,
+        pieces: Pieces(1),
+        prefill: None,
+        runner: "d0".parse().expect("a name"),
+        suspect: false,
+    }
+}
+
+fn granted(actions: &[ShardAction]) -> Vec<GrantMessage> {
+    let grant = |action: &ShardAction| match action {
+        ShardAction::Send(_, ShardMessage::Grant(grant)) => Some(grant.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(grant).collect()
+}
+
+fn refused(actions: &[ShardAction]) -> Vec<Refusal> {
+    let refusal = |action: &ShardAction| match action {
+        ShardAction::Send(_, ShardMessage::Refuse(_, refusal)) => Some(*refusal),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+fn cancelled(actions: &[ShardAction]) -> BTreeSet<String> {
+    let cancel = |action: &ShardAction| match action {
+        ShardAction::Cancel(spec, attempt) => Some(format!("{} {attempt}", spec.name)),
+        _ => None,
+    };
+    actions.iter().filter_map(cancel).collect()
+}
+
+#[test]
+fn prefill_starts_only_with_a_decode_slot() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    let actions = bench.ask("a", 5);
+    assert!(granted(&actions).is_empty(), "the prefill worker is idle, but no slot is free");
+    let done = ShardMessage::Release(attempt("a", 1), ReleaseOutcome::Finished);
+    let grants = granted(&bench.say("a", done));
+    assert_eq!(grants.len(), 1);
+    assert_eq!(grants[0].claim.attempt, attempt("a", 5));
+}
+
+#[test]
+fn ask_that_comes_twice_gets_the_same_grant_and_one_slot() {
+    let mut bench = Bench::owner(&["a"]);
+    let first = granted(&bench.ask("a", 1));
+    let second = granted(&bench.ask("a", 1));
+    assert_eq!(first, second);
+    assert_eq!(bench.ledger.claims().count(), 1);
+}
+
+#[test]
+fn new_owner_grants_nothing_before_the_entries_report() {
+    let mut bench = Bench::new();
+    bench.members(&["a", "b"], ShardRole::Owner);
+    assert!(granted(&bench.ask("a", 1)).is_empty());
+    bench.say("a", ShardMessage::Summary { count: 0, digest: 0 });
+    assert!(granted(&bench.pass(MILLI * 10)).is_empty(), "b has not reported");
+    bench.say("b", ShardMessage::Summary { count: 0, digest: 0 });
+    assert_eq!(bench.ledger.claims().count(), 1, "the ask is granted at once");
+}
+
+#[test]
+fn new_owner_waits_a_second_at_most() {
+    let mut bench = Bench::new();
+    bench.members(&["a", "b"], ShardRole::Owner);
+    bench.ask("a", 1);
+    assert!(granted(&bench.pass(MILLI * 999)).is_empty());
+    assert_eq!(granted(&bench.pass(MILLI)).len(), 1);
+}
+
+#[test]
+fn new_owner_pulls_the_claims_that_it_lacks() {
+    let mut old = Bench::owner(&["a"]);
+    let grants = old.fill("a");
+    let claims: Vec<_> = grants
+        .iter()
+        .map(|grant| SlotClaim { phase: ClaimPhase::Run, ..grant.claim.clone() })
+        .collect();
+    let mut new = Bench::new();
+    new.members(&["a"], ShardRole::Owner);
+    let (count, digest) = digest_claims(claims.iter());
+    let actions = new.say("a", ShardMessage::Summary { count, digest });
+    assert_eq!(actions, [ShardAction::Send(daemon("a"), ShardMessage::Pull)]);
+    new.ask("a", 9);
+    new.say("a", ShardMessage::ClaimList(claims));
+    assert_eq!(new.ledger.claims().count(), 4, "no fifth request is admitted");
+}
+
+#[test]
+fn dead_entry_frees_its_slots_only_after_the_upstreams_confirm() {
+    let mut bench = Bench::owner(&["a", "b"]);
+    bench.fill("b");
+    let actions = bench.members(&["a"], ShardRole::Owner);
+    let cancels = cancelled(&actions);
+    assert_eq!(cancels.len(), 8, "four at decode and four at prefill workers: {cancels:?}");
+    bench.ask("a", 1);
+    assert!(granted(&bench.pass(MILLI * 100)).is_empty(), "nothing is confirmed yet");
+    let again = cancelled(&bench.pass(MILLI * 500));
+    assert_eq!(again, cancels, "the cancels are repeated");
+    let decode = if again.contains("d0 b.1.1.1") { "d0" } else { "d1" };
+    let confirm = |upstream: &str| {
+        ShardEvent::CancelConfirmed(attempt("b", 1), upstream.parse().expect("a name"))
+    };
+    assert!(granted(&bench.feed(confirm("p0"))).is_empty(), "the decode worker may still run it");
+    let grants = granted(&bench.feed(confirm(decode)));
+    assert_eq!(grants[0].claim.attempt, attempt("a", 1));
+}
+
+#[test]
+fn backup_forgets_what_its_owner_cancelled() {
+    let mut bench = Bench::new();
+    bench.members(&["a", "b"], ShardRole::Backup);
+    let claim = claim_of("b");
+    bench.say("b", ShardMessage::Claim(claim));
+    bench.members(&["a"], ShardRole::Backup);
+    assert_eq!(bench.ledger.claims().count(), 1);
+    bench.pass(SECOND * 60);
+    assert_eq!(bench.ledger.claims().count(), 0);
+}
+
+#[test]
+fn backup_that_takes_over_cancels_for_a_dead_entry() {
+    let mut bench = Bench::new();
+    bench.members(&["a", "b", "c"], ShardRole::Backup);
+    let claim = claim_of("b");
+    bench.say("b", ShardMessage::Claim(claim));
+    // Owner c and entry b die together.
+    let actions = bench.members(&["a"], ShardRole::Owner);
+    assert_eq!(cancelled(&actions), BTreeSet::from(["d0 b.1.1.1".to_owned()]));
+}
+
+#[test]
+fn lost_grant_is_freed_after_its_travel_time() {
+    let mut bench = Bench::owner(&["a"]);
+    assert_eq!(granted(&bench.ask("a", 1)).len(), 1);
+    bench.say("a", ShardMessage::ClaimList(Vec::new()));
+    assert_eq!(bench.ledger.claims().count(), 1, "the grant may be on its way");
+    bench.pass(SECOND * 2);
+    let actions = bench.say("a", ShardMessage::ClaimList(Vec::new()));
+    assert_eq!(cancelled(&actions).len(), 2);
+}
+
+#[test]
+fn late_claim_of_a_dead_entry_is_cancelled() {
+    let mut bench = Bench::owner(&["a"]);
+    let claim = claim_of("gone");
+    let actions = bench.say("gone", ShardMessage::Claim(claim));
+    assert_eq!(cancelled(&actions).len(), 1);
+}
+
+#[test]
+fn leaving_upstream_is_never_chosen() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.configure(|template| template.upstreams[1].leaving = true);
+    for sequence in 1..=2 {
+        let grants = granted(&bench.ask("a", sequence));
+        assert_eq!(grants[0].claim.runner.as_str(), "d1");
+        bench.run(&grants[0]);
+    }
+    assert!(granted(&bench.ask("a", 3)).is_empty());
+}
+
+#[test]
+fn lost_upstream_rests_and_then_gets_one_request() {
+    let mut bench = Bench::owner(&["a"]);
+    let grant = granted(&bench.ask("a", 1)).remove(0);
+    let lost = grant.claim.runner.clone();
+    bench.run(&grant);
+    bench.say("a", ShardMessage::Release(attempt("a", 1), ReleaseOutcome::RunnerLost));
+    for sequence in 2..=3 {
+        let grant = granted(&bench.ask("a", sequence)).remove(0);
+        assert_ne!(grant.claim.runner, lost);
+        bench.run(&grant);
+    }
+    assert!(granted(&bench.ask("a", 4)).is_empty());
+    assert_eq!(granted(&bench.pass(SECOND))[0].claim.runner, lost);
+}
+
+#[test]
+fn memory_is_charged_in_pieces() {
+    let mut bench = Bench::owner(&["a"]);
+    let mut large = ask_of("a", 1, "desk");
+    large.prompt = Tokens(6_000);
+    for sequence in 1..=2 {
+        large.attempt = attempt("a", sequence);
+        let grants = granted(&bench.say("a", ShardMessage::Ask(large.clone())));
+        assert_eq!(grants[0].claim.pieces, Pieces(4));
+        bench.run(&grants[0]);
+    }
+    let third = bench.ask("a", 3);
+    assert!(granted(&third).is_empty(), "two slots are free, but no memory");
+    let mut huge = ask_of("a", 4, "desk");
+    huge.prompt = Tokens(9_000);
+    let refusal = refused(&bench.say("a", ShardMessage::Ask(huge)))[0];
+    assert_eq!(refusal.reason, RefusalReason::TooLarge);
+}
+
+#[test]
+fn hopeless_ask_is_refused_at_once_with_a_time() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    let mut last = None;
+    for sequence in 5..40 {
+        if let Some(refusal) = refused(&bench.ask("a", sequence)).first() {
+            last = Some(*refusal);
+            break;
+        }
+    }
+    let refusal = last.expect("the queue does not grow without end");
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn ask_whose_time_is_over_is_refused_within_ten_milliseconds() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    assert!(refused(&bench.ask("a", 5)).is_empty());
+    let now = bench.clock.now();
+    let wake = bench.ledger.next_wake().expect("the ledger wants to be woken");
+    let refusals = refused(&bench.pass(wake - now));
+    assert_eq!(refusals.len(), 1);
+    assert!(wake - now <= SECOND * 2, "prefill and transfer still fit before the target");
+}
+
+#[test]
+fn account_below_its_share_goes_first() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    bench.ask("a", 5);
+    bench.say("a", ShardMessage::Ask(ask_of("a", 6, "field")));
+    let done = ShardMessage::Release(attempt("a", 1), ReleaseOutcome::Finished);
+    let grants = granted(&bench.say("a", done));
+    assert_eq!(grants[0].claim.account, account("field"));
+}
+
+#[test]
+fn caller_that_comes_back_goes_before_new_ones() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    bench.ask("a", 5);
+    let returning = AskMessage { returning: true, ..ask_of("a", 6, "desk") };
+    bench.say("a", ShardMessage::Ask(returning));
+    let done = ShardMessage::Release(attempt("a", 1), ReleaseOutcome::Finished);
+    assert_eq!(granted(&bench.say("a", done))[0].claim.attempt, attempt("a", 6));
+}
+
+#[test]
+fn suspects_never_share_an_upstream() {
+    let mut bench = Bench::owner(&["a"]);
+    let suspect =
+        |sequence| ShardMessage::Ask(AskMessage { suspect: true, ..ask_of("a", sequence, "desk") });
+    let mut runners = BTreeSet::new();
+    for sequence in 1..=2 {
+        let grant = granted(&bench.say("a", suspect(sequence))).remove(0);
+        bench.run(&grant);
+        runners.insert(grant.claim.runner);
+    }
+    assert_eq!(runners.len(), 2);
+    assert!(granted(&bench.say("a", suspect(3))).is_empty(), "both have a suspect");
+}
+
+#[test]
+fn daemon_without_duty_answers_nothing_and_keeps_nothing() {
+    let mut bench = Bench::owner(&["a"]);
+    bench.fill("a");
+    bench.members(&["a"], ShardRole::Bystander);
+    assert_eq!(bench.ledger.claims().count(), 0);
+    assert!(bench.ask("a", 9).is_empty());
+}
--- /dev/null
+++ b/tests/tickets.rs
@@ -0,0 +1,167 @@
+//! At most once, as calls of the real ticket table.
+
+use apricotrun::coordination::tickets::{
+    StoredAnswer, TicketDecision, TicketId, TicketResult, TicketTable,
+};
+use apricotrun::prelude::*;
+use std::time::SystemTime;
+
+const WINDOW: Duration = Duration::from_secs(600);
+const KEY: [u8; 32] = [7; 32];
+
+fn daemon(name: &str) -> DaemonId {
+    format!("{name}.1").parse().expect("an id")
+}
+
+fn body(text: &str) -> Fingerprint {
+    Fingerprint::of(&[text.as_bytes()])
+}
+
+fn answer() -> StoredAnswer {
+    let body = Some(b"booked".to_vec());
+    StoredAnswer { body, content_type: "text/plain".to_owned(), status: 200 }
+}
+
+fn at(seconds: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000 + seconds)
+}
+
+fn verdict(decision: &TicketDecision) -> Option<Verdict> {
+    match decision {
+        TicketDecision::Refuse(refusal) => Some(refusal.verdict),
+        _ => None,
+    }
+}
+
+#[test]
+fn first_use_runs_and_later_ones_get_the_answer() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    assert_eq!(table.begin(at(1), &ticket, body("x")), TicketDecision::Run);
+    let second = table.begin(at(1), &ticket, body("x"));
+    assert_eq!(verdict(&second), Some(Verdict::MayHaveRun), "it runs now");
+    table.finish(&ticket, TicketResult::Answered(answer()));
+    assert_eq!(table.begin(at(2), &ticket, body("x")), TicketDecision::Answer(answer()));
+}
+
+#[test]
+fn ticket_fits_only_the_request_that_it_was_first_used_with() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    table.begin(at(1), &ticket, body("x"));
+    let other = table.begin(at(1), &ticket, body("y"));
+    assert_eq!(verdict(&other), Some(Verdict::NotRun));
+}
+
+#[test]
+fn not_run_may_be_tried_again_and_may_have_run_never() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    table.begin(at(1), &ticket, body("x"));
+    table.finish(&ticket, TicketResult::NotRun);
+    assert_eq!(table.begin(at(2), &ticket, body("x")), TicketDecision::Run);
+    table.finish(&ticket, TicketResult::MayHaveRun);
+    for second in 3..10 {
+        let again = table.begin(at(second), &ticket, body("x"));
+        assert_eq!(verdict(&again), Some(Verdict::MayHaveRun));
+    }
+}
+
+#[test]
+fn only_the_home_runs_a_ticket() {
+    let mut home = TicketTable::new(daemon("a"));
+    let mut other = TicketTable::new(daemon("b"));
+    let ticket = home.mint(at(0), WINDOW);
+    let decision = other.begin(at(1), &ticket, body("x"));
+    assert_eq!(decision, TicketDecision::Forward(daemon("a")));
+}
+
+#[test]
+fn later_life_of_the_home_does_not_run_its_tickets() {
+    let mut first = TicketTable::new("a.1".parse().expect("an id"));
+    let ticket = first.mint(at(0), WINDOW);
+    let mut second = TicketTable::new("a.2".parse().expect("an id"));
+    let decision = second.begin(at(1), &ticket, body("x"));
+    assert_eq!(decision, TicketDecision::Forward("a.1".parse().expect("an id")));
+}
+
+#[test]
+fn expired_ticket_does_not_run_even_when_its_row_is_forgotten() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    table.begin(at(1), &ticket, body("x"));
+    table.finish(&ticket, TicketResult::Answered(answer()));
+    table.prune(at(100_000));
+    assert!(table.is_empty());
+    let late = table.begin(at(100_001), &ticket, body("x"));
+    assert_eq!(verdict(&late), Some(Verdict::MayHaveRun));
+}
+
+#[test]
+fn row_outlives_its_ticket_for_clocks_that_are_behind() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    table.begin(at(1), &ticket, body("x"));
+    table.finish(&ticket, TicketResult::Answered(answer()));
+    table.prune(at(600 + 200));
+    let heir = &mut TicketTable::new(daemon("b"));
+    heir.inherit(table.hand_over());
+    // The heir's clock is four minutes behind.
+    let decision = heir.begin(at(560), &ticket, body("x"));
+    assert_eq!(decision, TicketDecision::Answer(answer()));
+}
+
+#[test]
+fn stopped_home_starts_nothing_more_and_its_heir_does() {
+    let mut home = TicketTable::new(daemon("a"));
+    let mut heir = TicketTable::new(daemon("b"));
+    let (used, running, fresh) =
+        (home.mint(at(0), WINDOW), home.mint(at(0), WINDOW), home.mint(at(0), WINDOW));
+    home.begin(at(1), &used, body("x"));
+    home.finish(&used, TicketResult::Answered(answer()));
+    home.begin(at(1), &running, body("y"));
+    let handover = home.hand_over();
+    assert_eq!(verdict(&home.begin(at(2), &fresh, body("z"))), Some(Verdict::MayHaveRun));
+    heir.inherit(handover.clone());
+    assert_eq!(heir.begin(at(3), &used, body("x")), TicketDecision::Answer(answer()));
+    assert_eq!(verdict(&heir.begin(at(3), &running, body("y"))), Some(Verdict::MayHaveRun));
+    assert_eq!(heir.begin(at(3), &fresh, body("z")), TicketDecision::Run);
+    // The home repeats the handover because the confirmation was lost.
+    heir.inherit(handover);
+    let again = heir.begin(at(4), &fresh, body("z"));
+    assert_eq!(verdict(&again), Some(Verdict::MayHaveRun), "the row was not overwritten");
+}
+
+#[test]
+fn others_find_the_heir_of_an_heir() {
+    let mut other = TicketTable::new(daemon("c"));
+    let ticket = TicketTable::new(daemon("a")).mint(at(0), WINDOW);
+    other.set_heir(daemon("a"), daemon("b"));
+    other.set_heir(daemon("b"), daemon("d"));
+    let decision = other.begin(at(1), &ticket, body("x"));
+    assert_eq!(decision, TicketDecision::Forward(daemon("d")));
+}
+
+#[test]
+fn stored_answers_are_bounded_and_still_count_as_run() {
+    let mut table = TicketTable::new(daemon("a"));
+    let ticket = table.mint(at(0), WINDOW);
+    table.begin(at(1), &ticket, body("x"));
+    let large = StoredAnswer { body: Some(vec![0; 1024 * 1024]), ..answer() };
+    table.finish(&ticket, TicketResult::Answered(large));
+    let decision = table.begin(at(2), &ticket, body("x"));
+    let kept = StoredAnswer { body: None, ..answer() };
+    assert_eq!(decision, TicketDecision::Answer(kept));
+}
+
+#[test]
+fn forged_ticket_is_not_accepted() {
+    let ticket = TicketTable::new(daemon("a")).mint(at(0), WINDOW);
+    let signed = ticket.sign(&KEY);
+    assert_eq!(TicketId::verify(&signed, &KEY), Some(ticket));
+    assert_eq!(TicketId::verify(&signed, &[8; 32]), None);
+    assert_eq!(TicketId::verify(&signed.replacen(".1.", ".2.", 1), &KEY), None);
+    for text in ["", ".", "a.b.c.d.e", "a.1.1.9999999999999999999999.0"] {
+        assert_eq!(TicketId::verify(text, &KEY), None, "{text:?}");
+    }
+}
