--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -228,6 +228,7 @@
         }
         self.role = role;
         self.live = live;
+        self.queue.retain_entries(&self.live);
         for entry in self.pool.entries() {
             if !self.live.contains(&entry) {
                 self.orphan_entry(now, &entry);
@@ -293,6 +294,10 @@
     }
 
     fn take_ask(&mut self, now: Instant, from: &DaemonId, ask: AskMessage) -> Option<ShardMessage> {
+        // Nobody would release what a dead entry is granted.
+        if !self.live.contains(from) {
+            return None;
+        }
         let attempt = ask.attempt.clone();
         if let Some(grant) = self.pool.grant_of(&attempt) {
             return Some(ShardMessage::Grant(grant));
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -94,6 +94,15 @@
         removed
     }
 
+    /// Drops the asks of entries that no longer live.
+    pub fn retain_entries(&mut self, live: &BTreeSet<DaemonId>) {
+        let dead = self.index.keys().filter(|attempt| !live.contains(&attempt.request.entry));
+        let dead: Vec<_> = dead.cloned().collect();
+        dead.iter().for_each(|attempt| {
+            self.remove(attempt);
+        });
+    }
+
     /// Returns whether an ask waits here.
     pub fn contains(&self, attempt: &AttemptId) -> bool {
         self.index.contains_key(attempt)
--- a/tests/shard.rs
+++ b/tests/shard.rs
@@ -293,6 +293,23 @@
     assert_eq!(cancelled(&actions).len(), 2);
 }
 
+#[test]
+fn waiting_ask_of_a_dead_entry_gets_no_grant() {
+    let mut bench = Bench::owner(&["a", "b"]);
+    bench.fill("a");
+    bench.ask("b", 5);
+    bench.members(&["a"], ShardRole::Owner);
+    let done = ShardMessage::Release(attempt("a", 1), ReleaseOutcome::Finished);
+    assert!(granted(&bench.say("a", done)).is_empty());
+}
+
+#[test]
+fn late_ask_of_a_dead_entry_gets_no_grant() {
+    let mut bench = Bench::owner(&["a"]);
+    assert!(granted(&bench.ask("gone", 1)).is_empty());
+    assert_eq!(bench.ledger.claims().count(), 0);
+}
+
 #[test]
 fn late_claim_of_a_dead_entry_is_cancelled() {
     let mut bench = Bench::owner(&["a"]);
