--- a/src/bin/apricotctl/documents.rs
+++ b/src/bin/apricotctl/documents.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use apricotrun::coordination::store::{
     DocumentEdit, DocumentPlace, DocumentValue, EditOutcome, KeyStore, put_document, read_document,
-    read_head,
+    read_head, refresh_snapshot,
 };
 use apricotrun::prelude::Revision;
 use apricotrun::state::fleet::{DocumentName, parse_document};
@@ -120,6 +120,9 @@
             let answer = json!({ "document": name, "revision": revision });
             config.print(&answer, &format!("{name}: revision {revision}"))?;
             prune(store, name).await;
+            if let Err(error) = refresh_snapshot(store).await {
+                log::warn!("store: the snapshot stays as it is: {error}");
+            }
             Ok(revision)
         }
         EditOutcome::Conflict(current) => Err(conflict(store, name, base, current, text).await),
--- a/src/coordination/claims.rs
+++ b/src/coordination/claims.rs
@@ -37,7 +37,7 @@
         self.claims.remove(attempt).is_some()
     }
 
-    /// Returns the message that is sent every second.
+    /// Returns the message that is sent now and then.
     pub fn summary(&self) -> ShardMessage {
         let (count, digest) = digest_claims(self.claims.values());
         ShardMessage::Summary { count, digest }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -147,8 +147,12 @@
     /// Returns whether the daemon knows others, or has waited for them long enough.
     pub fn is_joined(&self, now: Instant) -> bool {
         let alone = self.seeds.iter().all(|seed| *seed == self.me.peer);
-        let known = self.others().any(|record| record.state != MemberState::Dead);
-        alone || known || now >= self.join_until
+        alone || self.has_peers() || now >= self.join_until
+    }
+
+    /// Returns whether any other daemon is known to run.
+    pub fn has_peers(&self) -> bool {
+        self.others().any(|record| record.state != MemberState::Dead)
     }
 
     /// Returns this daemon's own record.
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -108,7 +108,7 @@
     Claim(SlotClaim),
     /// Entry to owner and backup: an attempt holds nothing any more.
     Release(AttemptId, ReleaseOutcome),
-    /// Entry to owner and backup, every second: a digest of all its claims.
+    /// Entry to owner and backups, now and then: a digest of all its claims.
     Summary {
         /// How many claims the entry has.
         count: u32,
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -68,6 +68,13 @@
 /// The key of the document that names the current revision.
 pub const HEAD_KEY: &str = "apricotrun/head";
 
+/// The largest value that the platform's store takes, in bytes.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+/// Into how many parts the snapshot is split.
+const SNAPSHOT_PARTS: u64 = 4;
+/// How many changed documents are worth reading, or writing, the snapshot.
+const SNAPSHOT_FROM: usize = 16;
+
 /// Returns the key of one document as one edit wrote it; such a key is written once.
 pub fn document_key(name: &DocumentName, place: &DocumentPlace) -> String {
     format!("apricotrun/doc/{name}@{}-{}", place.revision, place.edit)
@@ -145,7 +152,8 @@
     parse_json(&key, &value.bytes)
 }
 
-/// Reads the documents of a head that came after `since`.
+/// Reads the documents of a head that came after `since`. Many are read by way of the snapshot,
+/// so that a fresh daemon costs a few calls and not one a document.
 ///
 /// # Errors
 ///
@@ -155,14 +163,98 @@
     head: &ConfigHead,
     since: Revision,
 ) -> Result<BTreeMap<DocumentName, StoredDocument>, StoreError> {
+    let newer: Vec<_> = head.documents.iter().filter(|(_, place)| place.revision > since).collect();
+    let snapshot = match newer.len() > SNAPSHOT_FROM {
+        true => read_snapshot(store).await?,
+        false => SnapshotPart::default(),
+    };
     let mut documents = BTreeMap::new();
-    for (name, place) in head.documents.iter().filter(|(_, place)| place.revision > since) {
-        let text = read_document(store, name, place).await?.text;
+    for (name, place) in newer {
+        let text = match snapshot.rows.get(name).filter(|row| row.place == *place) {
+            Some(row) => row.text.clone(),
+            None => read_document(store, name, place).await?.text,
+        };
         documents.insert(name.clone(), StoredDocument { revision: place.revision, text });
     }
     Ok(documents)
 }
 
+/// A text with the place that it was copied from. A copy counts only for a head that names the
+/// same place, so a snapshot can be old but never wrong.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct SnapshotRow {
+    place: DocumentPlace,
+    text: String,
+}
+
+/// One part of the snapshot; a part stays well below the store's largest value.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct SnapshotPart {
+    rows: BTreeMap<DocumentName, SnapshotRow>,
+}
+
+fn snapshot_key(part: u64) -> String {
+    format!("apricotrun/snapshot/{part}")
+}
+
+fn snapshot_part(name: &DocumentName) -> u64 {
+    Fingerprint::of(&[name.to_string().as_bytes()]).low() % SNAPSHOT_PARTS
+}
+
+async fn read_snapshot(store: &dyn KeyStore) -> Result<SnapshotPart, StoreError> {
+    let mut all = SnapshotPart::default();
+    for part in 0..SNAPSHOT_PARTS {
+        let key = snapshot_key(part);
+        if let Some(value) = store.get(&key).await? {
+            let part: SnapshotPart = parse_json(&key, &value.bytes)?;
+            all.rows.extend(part.rows);
+        }
+    }
+    Ok(all)
+}
+
+/// Brings the snapshot up to date when many documents have changed since it was written. Authors
+/// call this after an edit; what fails is made good by a later edit.
+///
+/// # Errors
+///
+/// Returns an error when the store gives no answer.
+pub async fn refresh_snapshot(store: &dyn KeyStore) -> Result<(), StoreError> {
+    let (head, _) = read_head(store).await?;
+    let old = read_snapshot(store).await?;
+    let is_stale = |(name, place): &(&DocumentName, &DocumentPlace)| {
+        old.rows.get(*name).is_none_or(|row| row.place != **place)
+    };
+    if head.documents.iter().filter(is_stale).count() < SNAPSHOT_FROM {
+        return Ok(());
+    }
+    let documents = read_documents(store, &head, Revision(0)).await?;
+    let mut parts = vec![SnapshotPart::default(); SNAPSHOT_PARTS as usize];
+    for (name, document) in documents {
+        let place = head.documents[&name].clone();
+        let row = SnapshotRow { place, text: document.text };
+        parts[snapshot_part(&name) as usize].rows.insert(name, row);
+    }
+    for (part, content) in parts.iter().enumerate() {
+        write_part(store, part as u64, content).await?;
+    }
+    Ok(())
+}
+
+async fn write_part(
+    store: &dyn KeyStore,
+    part: u64,
+    content: &SnapshotPart,
+) -> Result<(), StoreError> {
+    let key = snapshot_key(part);
+    let version = store.get(&key).await?.map(|value| value.version).unwrap_or_default();
+    let bytes = serde_json::to_vec(content).map_err(|e| StoreError::Invalid(e.to_string()))?;
+    if bytes.len() > MAX_VALUE_BYTES {
+        return Err(StoreError::Invalid(format!("{key} would have {} bytes", bytes.len())));
+    }
+    store.put(&key, bytes, version).await.map(|_| ())
+}
+
 fn parse_json<T: for<'de> Deserialize<'de>>(key: &str, bytes: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(bytes).map_err(|error| StoreError::Invalid(format!("{key}: {error}")))
 }
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -124,6 +124,7 @@
         sequence: AtomicU64::new(0),
         shard_wake: Notify::new(),
         shards: Mutex::new(ShardTable::new()),
+        started: now,
         stop_wanted: Notify::new(),
         stopping: AtomicBool::new(false),
         store: Arc::new(ConsulStore::new(settings.store)?),
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -71,6 +71,8 @@
     pub stop_wanted: Notify,
     /// Whether the daemon finishes its requests and takes no new ones.
     pub stopping: AtomicBool,
+    /// When the daemon started.
+    pub started: Instant,
     /// The platform's store.
     pub store: Arc<dyn KeyStore>,
     /// Tickets of requests that may not be repeated.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -25,12 +25,14 @@
 
 /// How many parts of an answer may wait for a slow caller.
 const CALLER_QUEUE: usize = 256;
+/// How long a caller that does not read is waited for after its deadline.
+const FINAL_PATIENCE: Duration = Duration::from_secs(1);
 /// How often an entry tries to cancel before it leaves that to the shard's owner.
 const CANCEL_TRIES: usize = 2;
-/// How often an entry tells owners and backups what it holds.
-const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+/// How often an entry tells owners and backups what it holds, when no member changes.
+const SUMMARY_PERIOD: Duration = Duration::from_secs(5);
 /// After how many of these periods it repeats whose tickets it answers for.
-const INHERITANCE_TURNS: u32 = 30;
+const INHERITANCE_TURNS: u32 = 6;
 /// The longest sleep between two looks at the clock.
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
@@ -234,7 +236,7 @@
     /// Passes a part on. A caller that neither reads nor leaves is let go at the deadline.
     async fn pass_on(&mut self, part: CallerPart) {
         let wake = self.flow.next_wake().unwrap_or_else(|| self.node.clock.now());
-        let patience = wake.saturating_duration_since(self.node.clock.now()) + SUMMARY_PERIOD;
+        let patience = wake.saturating_duration_since(self.node.clock.now()) + FINAL_PATIENCE;
         let _ = tokio::time::timeout(patience, self.parts.send(part)).await;
     }
 
@@ -448,7 +450,7 @@
     node.tell_claim_holders(service, domain, &ShardMessage::Release(attempt, outcome));
 }
 
-/// Tells owners and backups every second what this entry holds.
+/// Tells owners and backups now and then what this entry holds.
 pub async fn send_summaries(node: Arc<Node>) {
     let mut interval = tokio::time::interval(SUMMARY_PERIOD);
     let mut turn = 0;
--- a/src/transport/watcher.rs
+++ b/src/transport/watcher.rs
@@ -18,7 +18,11 @@
 /// How long one watch waits.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// How often a daemon that does not watch checks whether it should.
-const DUTY_CHECK: Duration = Duration::from_millis(500);
+const DUTY_CHECK: Duration = Duration::from_millis(100);
+/// How long a fresh daemon waits for its peers' configuration.
+const PEERS_FIRST: Duration = Duration::from_millis(600);
+/// After what time a daemon without configuration reads the store whatever its duty.
+const OWN_READ_AFTER: Duration = Duration::from_secs(8);
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// The longest pause after failed calls.
@@ -48,14 +52,19 @@
 }
 
 impl Node {
-    /// A daemon without configuration watches too, so that the first one of a failure domain
-    /// starts even if its peers have none.
+    /// A fresh daemon gives its peers a moment to pass their configuration on. Whoever still has
+    /// none after a while reads the store itself, whatever its duty, so that a failure domain
+    /// starts even when its watchers cannot.
     fn is_watcher(&self) -> bool {
-        if self.fleet().revision == Revision(0) {
+        let age = self.clock.now().saturating_duration_since(self.started);
+        if self.fleet().revision == Revision(0) && age > OWN_READ_AFTER {
             return true;
         }
         let domain = &self.settings.domain;
         let members = lock(&self.members);
+        if !members.is_joined(self.clock.now()) || (members.has_peers() && age < PEERS_FIRST) {
+            return false;
+        }
         let eligible: BTreeSet<_> =
             members.eligible(domain).map(|record| record.daemon.clone()).collect();
         let ranked = rank_daemons(&watch_duty(domain), eligible.iter());
--- /dev/null
+++ b/standins/src/bin/capacity/bytes.rs
@@ -0,0 +1,145 @@
+//! The sizes of messages between daemons, as the codec writes them.
+
+use apricotrun::coordination::messages::{
+    AskMessage, ClaimPhase, ConfigMessage, GossipMessage, GrantMessage, MemberRecord, MemberState,
+    PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use apricotrun::prelude::*;
+use apricotrun::protocol::codec::{FrameContext, PeerFrame, PeerKey, encode_datagram};
+use apricotrun::state::fleet::StoredDocument;
+use std::collections::BTreeMap;
+
+/// The bytes that say how long a frame is.
+const FRAME_LENGTH: usize = 4;
+
+/// Returns the key of the measurement.
+pub fn key() -> PeerKey {
+    "a".repeat(64).parse().expect("a key")
+}
+
+/// Returns a daemon with names as long as an operator's.
+pub fn daemon() -> DaemonId {
+    "region-1-a-017.19a2b3c4d5e".parse().expect("an id")
+}
+
+/// Returns an attempt of that daemon.
+pub fn attempt(sequence: u64) -> AttemptId {
+    AttemptId { request: RequestId { entry: daemon(), sequence }, attempt: 1 }
+}
+
+/// Returns an attempt's claim.
+pub fn claim(sequence: u64) -> SlotClaim {
+    SlotClaim {
+        account: "account-1234".parse().expect("a name"),
+        attempt: attempt(sequence),
+        phase: ClaimPhase::Run,
+        pieces: Pieces(3),
+        prefill: Some("model-07-prefill-1".parse().expect("a name")),
+        runner: "model-07-decode-3".parse().expect("a name"),
+        suspect: false,
+    }
+}
+
+/// Returns an ask that waits however long it takes.
+pub fn patient_ask(sequence: u64, account: &str) -> AskMessage {
+    AskMessage { first_token_within: Duration::from_secs(86_400), ..ask(sequence, account) }
+}
+
+/// Returns an ask for upstreams.
+pub fn ask(sequence: u64, account: &str) -> AskMessage {
+    AskMessage {
+        account: account.parse().expect("a name"),
+        answer: Tokens(467),
+        attempt: attempt(sequence),
+        avoid: Vec::new(),
+        first_token_within: Duration::from_millis(350),
+        prefilled: false,
+        prefix: vec![u64::MAX; 2],
+        prompt: Tokens(3_000),
+        resuming: false,
+        returning: false,
+        suspect: false,
+    }
+}
+
+fn record() -> MemberRecord {
+    MemberRecord {
+        daemon: daemon(),
+        domain: "region-1-a".parse().expect("a name"),
+        http: "10.1.2.3:8100".parse().expect("an address"),
+        peer: "10.1.2.3:8101".parse().expect("an address"),
+        state: MemberState::Alive,
+        version: 1,
+    }
+}
+
+/// Returns the bytes of a shard message on its connection.
+pub fn shard_bytes(message: ShardMessage) -> usize {
+    frame_bytes(PeerMessage::Shard {
+        domain: "region-1-a".parse().expect("a name"),
+        message,
+        service: "model-07".parse().expect("a name"),
+    })
+}
+
+fn frame_bytes(message: PeerMessage) -> usize {
+    let to = "region-1-a-018".parse().expect("a name");
+    let frame = PeerFrame { from: daemon(), message, to };
+    let bytes = FrameContext::new([0; 16]).encode(&key(), &frame).expect("a frame");
+    bytes.len() + FRAME_LENGTH
+}
+
+fn datagram_bytes(updates: usize) -> usize {
+    let updates = vec![record(); updates];
+    let ping = GossipMessage::Ping { nonce: u64::MAX, revision: Revision(281_050), updates };
+    encode_datagram(&key(), &ping).expect("a datagram").len()
+}
+
+/// The document of one account, as an operator writes it.
+pub fn account_text(index: usize) -> String {
+    format!(
+        "account = \"account-{index:04}\"\nkey_digest = \"{}\"\n\n[services.model-{:02}]\n\
+         share = 0.01\n",
+        apricotrun::state::fleet::key_digest(&index.to_string()),
+        index % 30
+    )
+}
+
+fn delta_bytes(accounts: usize) -> usize {
+    let document = |index: usize| {
+        let name = format!("account/account-{index:04}").parse().expect("a name");
+        let revision = Revision(281_050);
+        (name, StoredDocument { revision, text: account_text(index) })
+    };
+    let documents: BTreeMap<_, _> = (0..accounts).map(document).collect();
+    let (since, revision) = (Revision(281_049), Revision(281_050));
+    frame_bytes(PeerMessage::Config(ConfigMessage::Delta { documents, revision, since }))
+}
+
+/// Measures and returns the table: name, then bytes.
+pub fn measure() -> String {
+    let grant = GrantMessage {
+        claim: claim(1_000_000),
+        prefill_address: Some("10.1.2.3:8000".parse().expect("an address")),
+        runner_address: "10.1.2.4:8000".parse().expect("an address"),
+    };
+    let list =
+        |count: u64| ShardMessage::ClaimList((0..count).map(|i| claim(i + 1_000_000)).collect());
+    let outcome = ReleaseOutcome::Finished;
+    let rows = [
+        ("ask", shard_bytes(ShardMessage::Ask(ask(1_000_000, "account-1234")))),
+        ("grant", shard_bytes(ShardMessage::Grant(grant))),
+        ("claim", shard_bytes(ShardMessage::Claim(claim(1_000_000)))),
+        ("release", shard_bytes(ShardMessage::Release(attempt(1_000_000), outcome))),
+        ("summary", shard_bytes(ShardMessage::Summary { count: 50, digest: u64::MAX })),
+        ("claim_list_0", shard_bytes(list(0))),
+        ("claim_list_100", shard_bytes(list(100))),
+        ("config_have", frame_bytes(PeerMessage::Config(ConfigMessage::Have(Revision(281_050))))),
+        ("config_delta_1", delta_bytes(1)),
+        ("config_delta_100", delta_bytes(100)),
+        ("config_delta_2200", delta_bytes(2_200)),
+        ("ping_0_news", datagram_bytes(1)),
+        ("ping_6_news", datagram_bytes(7)),
+    ];
+    rows.iter().map(|(name, bytes)| format!("{name:20} {bytes}\n")).collect()
+}
--- /dev/null
+++ b/standins/src/bin/capacity/fleets.rs
@@ -0,0 +1,153 @@
+//! Real daemons on loopback: control traffic, processor time, memory, and changes of
+//! configuration.
+
+use crate::plot::{Series, draw};
+use crate::slope::fit;
+use standins::fleet::{Fleet, FleetOptions, own_binaries};
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long idle daemons are watched.
+const WINDOW: Duration = Duration::from_secs(12);
+/// How long daemons settle first.
+const SETTLE: Duration = Duration::from_secs(4);
+/// How many changes of configuration are timed.
+const CHANGES: u64 = 5;
+/// The failure domains.
+const DOMAINS: usize = 4;
+const SIZES: [usize; 4] = [4, 8, 16, 32];
+
+/// What one size showed, a daemon.
+struct FleetPoint {
+    apply_ms: f64,
+    control_bytes: f64,
+    core_percent: f64,
+    daemons: usize,
+    memory_mb: f64,
+    reads: f64,
+    writes: f64,
+}
+
+/// Measures all sizes and returns the table.
+pub fn measure(folder: &Path) -> io::Result<String> {
+    let mut points = Vec::new();
+    for daemons in SIZES {
+        points.push(measure_size(daemons)?);
+    }
+    let mut text = String::new();
+    for point in &points {
+        text += &format!(
+            "{:3} daemons  control_bytes_per_s {:6.0}  core_percent {:5.2}  memory_mb {:5.1}  \
+             apply_ms {:6.0}  reads_a_change {:5.1}  writes_a_change {:4.1}\n",
+            point.daemons,
+            point.control_bytes,
+            point.core_percent,
+            point.memory_mb,
+            point.apply_ms,
+            point.reads,
+            point.writes
+        );
+    }
+    let series = |value: fn(&FleetPoint) -> f64| -> Vec<(f64, f64)> {
+        points.iter().map(|point| (point.daemons as f64, value(point))).collect()
+    };
+    for (name, value) in [
+        ("control_bytes_per_s", (|point| point.control_bytes) as fn(&FleetPoint) -> f64),
+        ("core_percent", |point| point.core_percent),
+        ("memory_mb", |point| point.memory_mb),
+    ] {
+        let (start, slope) = fit(&series(value));
+        text += &format!("fit {name} {start:.3} + {slope:.4} a daemon\n");
+    }
+    let control = Series { name: "idle".to_owned(), points: series(|point| point.control_bytes) };
+    draw(
+        &folder.join("control.svg"),
+        "Control traffic of one idle daemon (sent)",
+        "daemons",
+        "bytes a second",
+        &[control],
+    );
+    Ok(text)
+}
+
+fn measure_size(daemons: usize) -> io::Result<FleetPoint> {
+    let mut options = FleetOptions::new(&own_binaries());
+    options.domains = (0..DOMAINS).map(|index| format!("tyrol-{index}")).collect();
+    options.daemons = daemons / DOMAINS;
+    options.decode = 1;
+    options.plain = 1;
+    let fleet = Fleet::start(options)?;
+    thread::sleep(SETTLE);
+    let (bytes, cpu) = (control_bytes(&fleet)?, cpu_seconds(&fleet)?);
+    thread::sleep(WINDOW);
+    let window = WINDOW.as_secs_f64() * daemons as f64;
+    let control_bytes = (control_bytes(&fleet)? - bytes) / window;
+    let core_percent = 100.0 * (cpu_seconds(&fleet)? - cpu) / window;
+    let memory_mb = memory_bytes(&fleet)? / daemons as f64 / 1e6;
+    let before = fleet.store.counts();
+    let mut apply_ms = 0.0;
+    for change in 0..CHANGES {
+        let text = fleet.app_template().replace("1000", &format!("10{change:02}"));
+        fleet.write("changed.toml", &text)?;
+        let started = Instant::now();
+        fleet.ctl(&["apply", "--wait", "30", "changed.toml"])?;
+        apply_ms += started.elapsed().as_secs_f64() * 1_000.0 / CHANGES as f64;
+    }
+    let after = fleet.store.counts();
+    Ok(FleetPoint {
+        apply_ms,
+        control_bytes,
+        core_percent,
+        daemons,
+        memory_mb,
+        reads: (after.reads - before.reads) as f64 / CHANGES as f64,
+        writes: (after.writes - before.writes) as f64 / CHANGES as f64,
+    })
+}
+
+/// Returns the control bytes that all daemons have sent.
+fn control_bytes(fleet: &Fleet) -> io::Result<f64> {
+    let client = reqwest::blocking::Client::builder().no_proxy().build();
+    let client = client.map_err(io::Error::other)?;
+    let mut sum = 0.0;
+    for daemon in &fleet.daemons {
+        let answer = client.get(daemon.url("/metrics")).send().and_then(|answer| answer.text());
+        let text = answer.map_err(io::Error::other)?;
+        let control = text.lines().filter(|line| {
+            line.starts_with("apricotrun_gossip_bytes_sent_total")
+                || line.starts_with("apricotrun_peer_bytes_sent_total{kind=\"control\"}")
+        });
+        sum += control.filter_map(|line| line.split(' ').nth(1)?.parse::<f64>().ok()).sum::<f64>();
+    }
+    Ok(sum)
+}
+
+/// Returns the processor time that all daemons have used, in seconds.
+fn cpu_seconds(fleet: &Fleet) -> io::Result<f64> {
+    /// The kernel's clock ticks a second on this architecture.
+    const TICKS: f64 = 100.0;
+    let mut ticks = 0.0;
+    for pid in fleet.daemons.iter().filter_map(|daemon| daemon.pid()) {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+        let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
+        // User and system time are the 14th and 15th field, the second of which ends with ')'.
+        ticks +=
+            fields[12].parse::<f64>().unwrap_or(0.0) + fields[13].parse::<f64>().unwrap_or(0.0);
+    }
+    Ok(ticks / TICKS)
+}
+
+/// Returns the resident memory of all daemons, in bytes.
+fn memory_bytes(fleet: &Fleet) -> io::Result<f64> {
+    let mut kilobytes = 0.0;
+    for pid in fleet.daemons.iter().filter_map(|daemon| daemon.pid()) {
+        let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let value = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+        kilobytes += value.unwrap_or(0.0);
+    }
+    Ok(kilobytes * 1024.0)
+}
--- /dev/null
+++ b/standins/src/bin/capacity/memory.rs
@@ -0,0 +1,103 @@
+//! The memory of tables, as the allocator counts it.
+
+use crate::ALLOCATED;
+use crate::bytes::{claim, daemon, patient_ask};
+use crate::times::{documents, owner};
+use apricotrun::coordination::claims::ClaimBook;
+use apricotrun::coordination::messages::ShardMessage;
+use apricotrun::coordination::shard::ShardEvent;
+use apricotrun::coordination::tickets::{StoredAnswer, TicketResult, TicketTable};
+use apricotrun::prelude::*;
+use standins::network::MemberNetwork;
+use std::time::SystemTime;
+
+/// Returns the bytes that one of `count` entries takes.
+fn bytes_each<T>(count: usize, build: impl FnOnce() -> T) -> f64 {
+    let before = ALLOCATED.current_usage();
+    let table = build();
+    let after = ALLOCATED.current_usage();
+    drop(table);
+    after.saturating_sub(before) as f64 / count as f64
+}
+
+fn claims_at_entry(count: usize) -> f64 {
+    bytes_each(count, || {
+        let mut book = ClaimBook::default();
+        for sequence in 0..count {
+            book.insert(claim(sequence as u64));
+        }
+        book
+    })
+}
+
+fn claims_at_owner(count: usize) -> f64 {
+    let now = Instant::now();
+    bytes_each(count, || {
+        let mut ledger = owner(now, 16, 1);
+        for sequence in 0..count {
+            let message = ShardMessage::Claim(claim(sequence as u64));
+            ledger.handle(now, ShardEvent::Message(daemon(), message));
+        }
+        ledger
+    })
+}
+
+fn waiting_at_owner(count: usize) -> f64 {
+    let now = Instant::now();
+    let mut ledger = owner(now, 4, 1);
+    let mut sequence = 0;
+    let mut fill = |ledger: &mut apricotrun::coordination::shard::ShardLedger, count: usize| {
+        for _ in 0..count {
+            sequence += 1;
+            let message = ShardMessage::Ask(patient_ask(sequence, "account-0000"));
+            ledger.handle(now, ShardEvent::Message(daemon(), message));
+        }
+    };
+    fill(&mut ledger, 100);
+    let before = ALLOCATED.current_usage();
+    fill(&mut ledger, count);
+    (ALLOCATED.current_usage() - before) as f64 / count as f64
+}
+
+fn tickets(count: usize) -> f64 {
+    bytes_each(count, || {
+        let mut table = TicketTable::new(daemon());
+        let wall = SystemTime::now();
+        for number in 0..count {
+            let ticket = table.mint(wall, Duration::from_secs(600));
+            table.begin(wall, &ticket, Fingerprint::of(&[&number.to_le_bytes()]));
+            let body = Some(vec![0; 200]);
+            let content_type = "application/json".to_owned();
+            let answer = StoredAnswer { body, content_type, status: 200 };
+            table.finish(&ticket, TicketResult::Answered(answer));
+        }
+        table
+    })
+}
+
+fn accounts(count: usize) -> f64 {
+    bytes_each(count, || {
+        FleetConfig::build(Revision(1), documents(count)).expect("a configuration")
+    })
+}
+
+fn members(count: usize) -> f64 {
+    bytes_each(count * count, || {
+        let mut network = MemberNetwork::new(count, 6, 0.0);
+        network.run(Duration::from_secs(10));
+        network
+    })
+}
+
+/// Measures and returns the table: name, then bytes an entry.
+pub fn measure() -> String {
+    let rows = [
+        ("claim_at_entry", claims_at_entry(10_000)),
+        ("claim_at_owner", claims_at_owner(10_000)),
+        ("waiting_at_owner", waiting_at_owner(10_000)),
+        ("ticket_with_200_byte_answer", tickets(10_000)),
+        ("account_in_configuration", accounts(2_200)),
+        ("member", members(64)),
+    ];
+    rows.iter().map(|(name, bytes)| format!("{name:28} {bytes:.0}\n")).collect()
+}
--- /dev/null
+++ b/standins/src/bin/capacity/times.rs
@@ -0,0 +1,188 @@
+//! The processor time of decisions and of messages.
+
+use crate::bytes::{claim, daemon, key, patient_ask};
+use crate::plot::{Series, draw};
+use apricotrun::coordination::messages::{
+    ClaimPhase, ConfigMessage, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use apricotrun::coordination::shard::{ShardEvent, ShardLedger, ShardRole};
+use apricotrun::prelude::*;
+use apricotrun::protocol::codec::{FrameContext, PeerFrame};
+use apricotrun::state::fleet::{AccountGrant, DocumentName, StoredDocument};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hint::black_box;
+use std::path::Path;
+use std::sync::Arc;
+
+/// How many rounds are measured, the fastest of which counts.
+const ROUNDS: usize = 5;
+
+fn fastest(mut work: impl FnMut() -> usize) -> f64 {
+    let time = |work: &mut dyn FnMut() -> usize| {
+        let started = Instant::now();
+        let count = work();
+        started.elapsed().as_secs_f64() * 1e9 / count as f64
+    };
+    (0..ROUNDS).map(|_| time(&mut work)).fold(f64::INFINITY, f64::min)
+}
+
+/// Returns a template with one prefill worker to three decode workers.
+pub fn template(workers: usize) -> ServiceTemplate {
+    let spec = |index: usize| {
+        let prefill = index.is_multiple_of(4);
+        UpstreamSpec {
+            address: "10.1.2.3:8000".parse().expect("an address"),
+            domain: "region-1-a".parse().expect("a name"),
+            leaving: false,
+            name: format!("model-07-worker-{index}").parse().expect("a name"),
+            pieces: Some(Pieces(60)),
+            role: if prefill { UpstreamRole::Prefill } else { UpstreamRole::Decode },
+            slots: Slots(20),
+        }
+    };
+    ServiceTemplate {
+        between_token_target: Duration::from_millis(34),
+        deadline: Duration::from_secs(600),
+        eviction: Duration::from_millis(800),
+        first_token_target: Duration::from_secs(600),
+        link_tokens_per_second: TokenRate(1e6),
+        models: BTreeSet::new(),
+        non_idempotent: Vec::new(),
+        piece_tokens: Tokens(2_000),
+        prefill_tokens_per_second: TokenRate(1e6),
+        retry_window: Duration::from_secs(600),
+        service: "model-07".parse().expect("a name"),
+        upstreams: (0..workers).map(spec).collect(),
+    }
+}
+
+/// Returns the ledger of an owner with so many workers.
+pub fn owner(now: Instant, workers: usize, accounts: usize) -> ShardLedger {
+    let mut ledger = ShardLedger::new("region-1-a".parse().expect("a name"));
+    let grant = AccountGrant { ceiling: 1.0, max_waiting: 1_000_000, priority: 0, share: 0.01 };
+    let names = (0..accounts).map(|index| format!("account-{index:04}"));
+    let grants = names.map(|name| (name.parse().expect("a name"), grant)).collect();
+    ledger.handle(now, ShardEvent::Configure(Arc::new(template(workers)), grants));
+    let live = BTreeSet::from([daemon()]);
+    let local = BTreeSet::new();
+    ledger.handle(now, ShardEvent::Members { live, local, role: ShardRole::Owner });
+    ledger.handle(now + Duration::from_secs(1), ShardEvent::Tick);
+    ledger
+}
+
+fn say(ledger: &mut ShardLedger, now: Instant, message: ShardMessage) -> Option<SlotClaim> {
+    let actions = ledger.handle(now, ShardEvent::Message(daemon(), message));
+    actions.into_iter().find_map(|action| match action {
+        apricotrun::coordination::shard::ShardAction::Send(_, ShardMessage::Grant(grant)) => {
+            Some(grant.claim)
+        }
+        _ => None,
+    })
+}
+
+/// Returns the nanoseconds of one request at a shard's owner: ask, two claims, release, and the
+/// grant that the release makes room for, while so many others wait.
+fn request_at_owner(workers: usize, waiting: usize) -> f64 {
+    const REQUESTS: usize = 2_000;
+    let now = Instant::now() + Duration::from_secs(2);
+    let mut ledger = owner(now - Duration::from_secs(2), workers, 100);
+    let mut running = Vec::new();
+    let mut sequence = 0;
+    let next = |sequence: &mut u64| {
+        *sequence += 1;
+        ShardMessage::Ask(patient_ask(*sequence, &format!("account-{:04}", *sequence % 100)))
+    };
+    // Fill all slots, then the queue.
+    loop {
+        let message = next(&mut sequence);
+        let Some(claim) = say(&mut ledger, now, message) else { break };
+        let claim = SlotClaim { phase: ClaimPhase::Run, ..claim };
+        say(&mut ledger, now, ShardMessage::Claim(claim.clone()));
+        running.push(claim.attempt);
+    }
+    for _ in 1..waiting {
+        let message = next(&mut sequence);
+        say(&mut ledger, now, message);
+    }
+    fastest(|| {
+        for _ in 0..REQUESTS {
+            let message = next(&mut sequence);
+            say(&mut ledger, now, message);
+            let done = running.remove(0);
+            let release = ShardMessage::Release(done, ReleaseOutcome::Finished);
+            let granted = say(&mut ledger, now, release).expect("the room is given on");
+            for phase in [ClaimPhase::Transfer, ClaimPhase::Run] {
+                say(&mut ledger, now, ShardMessage::Claim(SlotClaim { phase, ..granted.clone() }));
+            }
+            running.push(granted.attempt);
+        }
+        REQUESTS
+    })
+}
+
+fn codec(message: &PeerMessage) -> f64 {
+    const MESSAGES: usize = 20_000;
+    let to: HostName = "region-1-a-018".parse().expect("a name");
+    let frame = PeerFrame { from: daemon(), message: message.clone(), to };
+    fastest(|| {
+        let (mut sender, mut receiver) = (FrameContext::new([0; 16]), FrameContext::new([0; 16]));
+        for _ in 0..MESSAGES {
+            let bytes = sender.encode(&key(), &frame).expect("a frame");
+            black_box(receiver.decode(&key(), &bytes).expect("a frame"));
+        }
+        MESSAGES
+    })
+}
+
+fn build_config(accounts: usize) -> f64 {
+    let documents = documents(accounts);
+    fastest(|| {
+        let config = FleetConfig::build(Revision(1), documents.clone());
+        black_box(config.expect("a configuration"));
+        1
+    })
+}
+
+/// Returns the documents of so many accounts.
+pub fn documents(accounts: usize) -> BTreeMap<DocumentName, StoredDocument> {
+    let document = |index: usize| {
+        let name = format!("account/account-{index:04}").parse().expect("a name");
+        let text = crate::bytes::account_text(index);
+        (name, StoredDocument { revision: Revision(1), text })
+    };
+    (0..accounts).map(document).collect()
+}
+
+/// Measures and returns the table: name, then nanoseconds.
+pub fn measure(folder: &Path) -> String {
+    let mut rows = Vec::new();
+    let mut plotted = Vec::new();
+    for workers in [4, 16, 64] {
+        let mut points = Vec::new();
+        for waiting in [10, 100, 1_000, 10_000] {
+            let time = request_at_owner(workers, waiting);
+            rows.push((format!("owner_{workers}_workers_{waiting}_waiting"), time));
+            points.push((waiting as f64, time / 1_000.0));
+        }
+        plotted.push(Series { name: format!("{workers} workers"), points });
+    }
+    draw(
+        &folder.join("owner.svg"),
+        "One request at a shard's owner",
+        "waiting requests",
+        "microseconds",
+        &plotted,
+    );
+    let shard = PeerMessage::Shard {
+        domain: "region-1-a".parse().expect("a name"),
+        message: ShardMessage::Claim(claim(1_000_000)),
+        service: "model-07".parse().expect("a name"),
+    };
+    rows.push(("codec_claim_both_ways".to_owned(), codec(&shard)));
+    let have = PeerMessage::Config(ConfigMessage::Have(Revision(1)));
+    rows.push(("codec_have_both_ways".to_owned(), codec(&have)));
+    for accounts in [100, 500, 1_000, 2_200] {
+        rows.push((format!("config_build_{accounts}_accounts"), build_config(accounts)));
+    }
+    rows.iter().map(|(name, time)| format!("{name:36} {time:.0}\n")).collect()
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -101,6 +101,11 @@
         format!("http://{}{path}", self.http)
     }
 
+    /// Returns the process's number while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends the process a signal by its name, such as `KILL`, `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod load;
+pub mod network;
 pub mod plain;
 pub mod policy;
 pub mod server;
--- a/tests/config_keeper.rs
+++ b/tests/config_keeper.rs
@@ -5,7 +5,7 @@
 use apricotrun::coordination::messages::ConfigMessage;
 use apricotrun::coordination::store::{
     DocumentEdit, EditOutcome, HEAD_KEY, KeyStore, StoreError, StoreVersion, StoredValue,
-    put_document, read_documents, read_head,
+    put_document, read_documents, read_head, refresh_snapshot,
 };
 use apricotrun::prelude::*;
 use apricotrun::state::fleet::{DocumentName, StoredDocument, key_digest};
@@ -14,6 +14,7 @@
 use futures::future::BoxFuture;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 fn account(name: &str, share: f64) -> (DocumentName, String) {
     let text = format!(
@@ -116,6 +117,7 @@
 struct FakeStore {
     faults: Mutex<Vec<WriteFault>>,
     late: Mutex<Option<(Vec<u8>, StoreVersion)>>,
+    reads: AtomicU64,
     values: Mutex<BTreeMap<String, (u64, Vec<u8>)>>,
 }
 
@@ -165,6 +167,7 @@
 
 impl KeyStore for FakeStore {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
         let found = self.values.lock().expect("a lock").get(key).cloned();
         let value = found.map(|(version, bytes)| {
             let version = StoreVersion(version);
@@ -263,6 +266,31 @@
     assert_eq!(current_text(&store), edit("e2", 0, 0.2).text);
 }
 
+#[test]
+fn snapshot_saves_reads_and_is_never_wrong() {
+    let store = FakeStore::default();
+    let named = |index: usize, share: f64, base: u64| {
+        let (name, text) = account(&format!("account-{index}"), share);
+        let id = format!("{index}-{share}");
+        DocumentEdit { name, text, ..edit(&id, base, share) }
+    };
+    for index in 0..100 {
+        put(&store, &named(index, 0.1, 0)).expect("an answer");
+    }
+    block_on(refresh_snapshot(&store)).expect("a snapshot");
+    // The snapshot is older than this change.
+    assert_eq!(put(&store, &named(7, 0.9, 8)), Ok(EditOutcome::Accepted(Revision(101))));
+    let (head, _) = block_on(read_head(&store)).expect("a head");
+    store.reads.store(0, Ordering::Relaxed);
+    let documents = block_on(read_documents(&store, &head, Revision(0))).expect("documents");
+    assert!(store.reads.load(Ordering::Relaxed) <= 5, "four parts and one changed document");
+    assert_eq!(documents.len(), 100);
+    for (name, document) in &documents {
+        let share = if name.to_string() == "account/account-7" { "0.9" } else { "0.1" };
+        assert!(document.text.contains(&format!("share = {share}")), "{name}");
+    }
+}
+
 #[test]
 fn edit_is_above_what_daemons_already_have() {
     let store = FakeStore::default();
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -439,7 +439,7 @@
         let prefill = loss >= 2;
         let Some(attempt) = self.pick_run(pick, prefill) else { return };
         self.runs.remove(&attempt);
-        let loss = if loss % 2 == 0 { UpstreamLoss::Broken } else { UpstreamLoss::Died };
+        let loss = if loss.is_multiple_of(2) { UpstreamLoss::Broken } else { UpstreamLoss::Died };
         let event = match prefill {
             true => FlowEvent::PrefillFailed(attempt.clone(), loss),
             false => FlowEvent::RunFailed(attempt.clone(), loss),
