--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -186,7 +186,7 @@
     /// Returns an error when a program does not start or a daemon does not become ready.
     pub fn start(options: FleetOptions) -> io::Result<Self> {
         let store = Store::default();
-        let store_server = store::start(SocketAddr::from(([127, 0, 0, 1], 0)), &store);
+        let store_server = store::start(free_address(), &store);
         let mut fleet = Self {
             daemons: Vec::new(),
             engines: BTreeMap::new(),
@@ -305,16 +305,16 @@
     }
 
     fn start_upstreams(&mut self) {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         for domain in self.options.domains.clone() {
             for index in 0..self.options.prefill + self.options.decode {
                 let role = if index < self.options.prefill { "prefill" } else { "decode" };
                 let name = format!("{domain}-{role}-{index}");
-                self.engines.insert(name, engine::start(any, self.options.engine.clone()));
+                self.engines
+                    .insert(name, engine::start(free_address(), self.options.engine.clone()));
             }
             for index in 0..self.options.plain {
                 let service = PlainService::default();
-                let server = plain::start(any, &service);
+                let server = plain::start(free_address(), &service);
                 let name = format!("{domain}-plain-{index}");
                 self.plain.insert(name, PlainUpstream { server, service });
             }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -2,7 +2,8 @@
 
 use rocket::config::{Config, LogLevel, Shutdown};
 use rocket::{Build, Rocket};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -76,19 +77,35 @@
     }
 }
 
+/// The ports that this process has given out. A port that is free now may be meant for a daemon
+/// that starts later.
+static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// Returns this process's own loopback address. Connections come from 127.0.0.1, so no port that
+/// one of them uses stands in the way of a listener here.
+pub fn own_loopback() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + high % 64, low, 1)
+}
+
 /// Returns the address with a free port in place of 0.
 pub fn with_free_port(address: SocketAddr) -> SocketAddr {
-    match address.port() {
-        0 => TcpListener::bind(address)
-            .and_then(|listener| listener.local_addr())
-            .expect("a free port exists"),
-        _ => address,
+    if address.port() != 0 {
+        return address;
+    }
+    loop {
+        let found = TcpListener::bind(address).and_then(|listener| listener.local_addr());
+        let found = found.expect("a free port exists");
+        let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+        if UdpSocket::bind(found).is_ok() && given.insert(found.port()) {
+            return found;
+        }
     }
 }
 
 /// Returns an address on loopback with a free port.
 pub fn free_address() -> SocketAddr {
-    with_free_port(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    with_free_port(SocketAddr::from((own_loopback(), 0)))
 }
 
 fn await_kill(runtime: Arc<Mutex<Option<Runtime>>>, receiver: Receiver<()>) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use standins::engine::EngineReport;
 use standins::fleet::{DESK_KEY, Fleet, FleetDaemon, FleetOptions, own_binaries};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -90,18 +91,7 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let response = request.send()?;
-        let header = |name: &str| {
-            response.headers().get(name).map(|v| v.to_str().expect("ascii").to_owned())
-        };
-        Ok(CallerAnswer {
-            status: response.status().as_u16(),
-            verdict: header("Apricotrun-Verdict"),
-            replayed: header("Apricotrun-Replayed").is_some(),
-            retry_after: header("Retry-After"),
-            return_pass: header("Apricotrun-Return"),
-            body: response.text()?,
-        })
+        Ok(read_answer(request.send()?))
     }
 
     pub fn complete(&self, daemon: &FleetDaemon, prompt: &str, tokens: u32) -> CallerAnswer {
@@ -200,18 +190,41 @@
 }
 
 /// Asks the daemon at an address for a streamed completion.
-pub fn complete_at(address: std::net::SocketAddr, prompt: &str, tokens: u32) -> CallerAnswer {
-    let caller = Caller::default();
-    let url = format!("http://{address}/v1/completions");
+pub fn complete_at(address: SocketAddr, prompt: &str, tokens: u32) -> CallerAnswer {
     let body = completion(prompt, tokens, true);
-    let response = caller.client.post(url).bearer_auth(&caller.key).body(body).send();
-    let response = response.expect("an answer");
+    post_at(format!("http://{address}/v1/completions"), None, &body)
+}
+
+fn post_at(url: String, header: Option<(&str, &str)>, body: &str) -> CallerAnswer {
+    let caller = Caller::default();
+    let mut request = caller.client.post(url).bearer_auth(&caller.key).body(body.to_owned());
+    if let Some((name, value)) = header {
+        request = request.header(name, value);
+    }
+    read_answer(request.send().expect("an answer"))
+}
+
+/// Asks the daemon at an address for a ticket.
+pub fn ticket_at(address: SocketAddr) -> String {
+    let answer = post_at(format!("http://{address}/v1/tickets"), None, "");
+    answer.json()["ticket"].as_str().expect("a ticket").to_owned()
+}
+
+/// Books at the daemon at an address with a ticket.
+pub fn book_at(address: SocketAddr, ticket: &str, body: &str) -> CallerAnswer {
+    let url = format!("http://{address}/services/rental-app/bookings");
+    post_at(url, Some(("Apricotrun-Ticket", ticket)), body)
+}
+
+fn read_answer(response: reqwest::blocking::Response) -> CallerAnswer {
+    let header =
+        |name: &str| response.headers().get(name).map(|v| v.to_str().expect("ascii").to_owned());
     CallerAnswer {
         status: response.status().as_u16(),
-        verdict: None,
-        replayed: false,
-        retry_after: None,
-        return_pass: None,
+        verdict: header("Apricotrun-Verdict"),
+        replayed: header("Apricotrun-Replayed").is_some(),
+        retry_after: header("Retry-After"),
+        return_pass: header("Apricotrun-Return"),
         body: response.text().expect("a whole body"),
     }
 }
