Split the long files by job

Change: moved functions only: flow into events, asking and attempts; the ledger into events, admission and claims; the membership's probing; runs and claims out of requests. No behaviour changes.

--- /dev/null
+++ b/src/coordination/flow/events.rs
@@ -0,0 +1,152 @@
+//! What happens to a request, and what its flow wants done.
+
+use crate::coordination::messages::{
+    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
+};
+use crate::prelude::*;
+use std::net::SocketAddr;
+
+/// Where an engine keeps a computed prompt, in the engine's own words.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KvHandle(pub String);
+
+/// What is known of a request when it is accepted.
+#[derive(Clone, Debug)]
+pub struct RequestSpec {
+    /// The account that pays for it.
+    pub account: AccountName,
+    /// The longest answer.
+    pub answer: Tokens,
+    /// The target for the time between tokens.
+    pub between_token_target: Duration,
+    /// The weight of the upstreams that died while they ran the same body.
+    pub crashes: u32,
+    /// When the caller's patience ends.
+    pub deadline: Instant,
+    /// How long a prefill worker keeps a result that nobody fetched.
+    pub eviction: Duration,
+    /// The failure domains to ask, the daemon's own first.
+    pub domains: Vec<DomainName>,
+    /// A digest of the body.
+    pub fingerprint: Fingerprint,
+    /// When the first token is due.
+    pub first_token_due: Instant,
+    /// The request's id.
+    pub id: RequestId,
+    /// How long a transfer of the prompt takes on an idle link.
+    pub link_time: Duration,
+    /// Digests of the prompt's leading pieces.
+    pub prefix: Vec<u64>,
+    /// How long the prefill of the prompt takes on an idle worker.
+    pub prefill_time: Duration,
+    /// The prompt's length.
+    pub prompt: Tokens,
+    /// Whether a second run does no harm.
+    pub repeatable: bool,
+    /// Whether the caller comes back at a booked time.
+    pub returning: bool,
+}
+
+/// How an upstream failed an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamLoss {
+    /// No byte reached it.
+    NothingSent,
+    /// It answered that it has no room and did not start.
+    Full,
+    /// It ended the attempt or the connection, and still lives.
+    Broken,
+    /// It has made no progress for too long.
+    Stalled,
+    /// It is gone.
+    Died,
+}
+
+/// What happens to a request.
+#[derive(Clone, Debug)]
+pub enum FlowEvent {
+    /// It has been accepted.
+    Start,
+    /// A shard owner answers.
+    Owner(DomainName, ShardMessage),
+    /// The prompt is computed.
+    PrefillDone(AttemptId, KvHandle),
+    /// The prefill worker failed.
+    PrefillFailed(AttemptId, UpstreamLoss),
+    /// A part of the answer arrived on the connection of the first attempt, marked by the
+    /// upstream with the second.
+    Token {
+        /// The attempt whose connection carried it.
+        attempt: AttemptId,
+        /// The request id that the upstream wrote into it.
+        marked: String,
+        /// Its place in the answer.
+        index: u32,
+        /// The text.
+        text: String,
+    },
+    /// The upstream says that the answer is whole and how many tokens it has.
+    RunEnded(AttemptId, u32),
+    /// A plain upstream has answered.
+    CallAnswered(AttemptId),
+    /// The decode worker or plain upstream failed.
+    RunFailed(AttemptId, UpstreamLoss),
+    /// The caller is gone.
+    CallerGone,
+    /// Another daemon may own the shard now.
+    OwnerChanged,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the flow wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FlowAction {
+    /// Say this to the shard's owner.
+    Tell(DomainName, ShardMessage),
+    /// The attempt holds this now: record it, and tell the backup.
+    Claim(DomainName, SlotClaim),
+    /// The attempt has come further: record it, and tell owner and backup.
+    Advance(DomainName, AttemptId, ClaimPhase),
+    /// The attempt holds nothing: record it, and tell owner and backup.
+    Release(DomainName, AttemptId, ReleaseOutcome),
+    /// Stop the attempt's connections, cancel it at these upstreams until they confirm, and then
+    /// release it with this outcome.
+    Abort {
+        /// The shard's failure domain.
+        domain: DomainName,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the next attempt uses the computed prompt.
+        keeps_prompt: bool,
+        /// Where it may still run.
+        upstreams: Vec<SocketAddr>,
+        /// How it ended.
+        outcome: ReleaseOutcome,
+    },
+    /// Compute the prompt.
+    StartPrefill(AttemptId, SocketAddr),
+    /// Produce the answer from this token on.
+    StartRun {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The upstream's address.
+        address: SocketAddr,
+        /// Where the computed prompt lies.
+        handle: Option<KvHandle>,
+        /// The first token that the caller lacks.
+        from: u32,
+    },
+    /// The request waits: begin the answer to the caller so that its going is noticed.
+    Open,
+    /// Pass this on to the caller.
+    Emit(String),
+    /// Tell all daemons of a lost upstream.
+    Report(CrashReport),
+    /// A message was dropped because it belongs to another request, attempt or place.
+    Dropped,
+    /// The answer is whole.
+    Finish,
+    /// The request has ended without a whole answer.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/src/coordination/flow/mod.rs
@@ -0,0 +1,333 @@
+//! One request as its entry daemon sees it, from accept to last byte.
+//!
+//! The flow asks shard owners for upstreams, starts prefill and run, passes on only what belongs
+//! to its current attempt, tries again elsewhere while that is safe, and ends exactly once. See
+//! docs/DESIGN.md, "A request".
+
+mod attempts;
+mod events;
+
+pub use events::{FlowAction, FlowEvent, KvHandle, RequestSpec, UpstreamLoss};
+
+use crate::coordination::messages::{AskMessage, GrantMessage, ReleaseOutcome, ShardMessage};
+use crate::prelude::*;
+
+/// How long an owner may stay silent before the ask is sent again.
+const ASK_RETRY: Duration = Duration::from_millis(250);
+/// How often a queued ask is repeated, in case its owner has changed.
+const QUEUED_RETRY: Duration = Duration::from_secs(1);
+/// How long all owners may stay silent before the request is refused.
+const OWNER_LIMIT: Duration = Duration::from_secs(4);
+/// When to come back to a service whose owner is silent.
+const OWNER_WAIT: Duration = Duration::from_secs(2);
+/// How many owners of other failure domains are asked after the local one refuses.
+const MAX_SPILLS: usize = 1;
+/// The weight at which a request is refused everywhere.
+pub const CRASH_LIMIT: u32 = 3;
+
+/// A computed prompt that a prefill worker still keeps.
+#[derive(Clone, Debug)]
+struct KeptPrompt {
+    handle: KvHandle,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct ActiveAttempt {
+    domain: DomainName,
+    grant: GrantMessage,
+    kept: Option<KeptPrompt>,
+    progress_due: Instant,
+    running: bool,
+    step_began: Instant,
+}
+
+#[derive(Debug)]
+enum FlowStage {
+    Asking { first: Instant, next: Instant, heard: bool },
+    Active(Box<ActiveAttempt>),
+    Ended,
+}
+
+/// The state of one request at its entry.
+#[derive(Debug)]
+pub struct RequestFlow {
+    attempt: u32,
+    avoid: Vec<UpstreamName>,
+    crashes: u32,
+    domain: usize,
+    kept: Option<KeptPrompt>,
+    next_token: u32,
+    opened: bool,
+    refusal: Option<Refusal>,
+    spec: RequestSpec,
+    spills: usize,
+    stage: FlowStage,
+    starts: u32,
+    suspect: bool,
+    touched: bool,
+    /// Whether the run waits for the transfer of its prompt.
+    transfers: bool,
+}
+
+impl RequestFlow {
+    /// Returns the flow of a request that is about to start.
+    pub fn new(now: Instant, spec: RequestSpec) -> Self {
+        let crashes = spec.crashes;
+        Self {
+            attempt: 0,
+            avoid: Vec::new(),
+            crashes,
+            domain: 0,
+            kept: None,
+            next_token: 0,
+            opened: false,
+            refusal: None,
+            spec,
+            spills: 0,
+            stage: FlowStage::Asking { first: now, next: now, heard: false },
+            starts: 0,
+            suspect: crashes > 0,
+            touched: false,
+            transfers: false,
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: FlowEvent) -> Vec<FlowAction> {
+        let mut out = Vec::new();
+        if matches!(self.stage, FlowStage::Ended) {
+            self.handle_late(event, &mut out);
+            return out;
+        }
+        match event {
+            FlowEvent::Start => self.start(now, &mut out),
+            FlowEvent::Owner(domain, message) => self.hear_owner(now, domain, message, &mut out),
+            FlowEvent::PrefillDone(attempt, handle) => {
+                self.prefill_done(now, &attempt, handle, &mut out);
+            }
+            FlowEvent::PrefillFailed(attempt, loss) => {
+                self.lose(now, &attempt, loss, ReleaseOutcome::PrefillLost, &mut out);
+            }
+            FlowEvent::Token { attempt, marked, index, text } => {
+                self.take_token(now, &attempt, &marked, index, text, &mut out);
+            }
+            FlowEvent::RunEnded(attempt, total) => self.run_ended(now, &attempt, total, &mut out),
+            FlowEvent::CallAnswered(attempt) => {
+                if self.is_current(&attempt) {
+                    self.finish(&mut out);
+                }
+            }
+            FlowEvent::RunFailed(attempt, loss) => {
+                self.lose(now, &attempt, loss, ReleaseOutcome::RunnerLost, &mut out);
+            }
+            FlowEvent::CallerGone => self.caller_gone(&mut out),
+            FlowEvent::OwnerChanged => self.ask_again(now, &mut out),
+            FlowEvent::Tick => self.tick(now, &mut out),
+        }
+        out
+    }
+
+    /// Returns when the flow wants its next [`FlowEvent::Tick`].
+    pub fn next_wake(&self) -> Option<Instant> {
+        let step = match &self.stage {
+            FlowStage::Asking { next, .. } => *next,
+            FlowStage::Active(active) => active.progress_due,
+            FlowStage::Ended => return None,
+        };
+        Some(step.min(self.spec.deadline))
+    }
+
+    /// Returns whether the request has ended.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.stage, FlowStage::Ended)
+    }
+
+    /// Returns how many tokens the caller has been given.
+    pub fn tokens(&self) -> u32 {
+        self.next_token
+    }
+
+    /// Returns how often upstreams were asked to start.
+    pub fn starts(&self) -> u32 {
+        self.starts
+    }
+
+    /// A grant that comes after the end is given back, so that no slot stays held for nobody.
+    fn handle_late(&mut self, event: FlowEvent, out: &mut Vec<FlowAction>) {
+        match event {
+            FlowEvent::Owner(domain, ShardMessage::Grant(grant)) => {
+                self.give_back(domain, grant, out);
+            }
+            FlowEvent::Token { .. } => out.push(FlowAction::Dropped),
+            _ => {}
+        }
+    }
+
+    fn give_back(&self, domain: DomainName, grant: GrantMessage, out: &mut Vec<FlowAction>) {
+        let attempt = grant.claim.attempt;
+        let release = ShardMessage::Release(attempt, ReleaseOutcome::Stopped);
+        out.push(FlowAction::Tell(domain, release));
+    }
+
+    fn start(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        if self.crashes >= CRASH_LIMIT {
+            return self.refuse(Refusal::not_run(RefusalReason::CrashesUpstream), out);
+        }
+        if self.spec.domains.is_empty() {
+            return self.refuse(Refusal::not_run(RefusalReason::NoUpstream), out);
+        }
+        self.ask(now, out);
+    }
+
+    fn ask(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        self.attempt += 1;
+        self.stage = FlowStage::Asking { first: now, next: now + ASK_RETRY, heard: false };
+        self.send_ask(now, out);
+    }
+
+    fn send_ask(&self, now: Instant, out: &mut Vec<FlowAction>) {
+        // What upstreams have lost is finished, late or not.
+        let due = match self.starts {
+            0 => self.spec.first_token_due,
+            _ => self.spec.deadline,
+        };
+        let ask = AskMessage {
+            account: self.spec.account.clone(),
+            answer: Tokens(self.spec.answer.0.saturating_sub(self.next_token)),
+            attempt: self.current(),
+            avoid: self.avoid.clone(),
+            first_token_within: due.saturating_duration_since(now),
+            prefilled: self.kept_prompt(now).is_some(),
+            prefix: self.spec.prefix.clone(),
+            prompt: Tokens(self.spec.prompt.0 + self.next_token),
+            resuming: self.starts > 0,
+            returning: self.spec.returning,
+            suspect: self.suspect,
+        };
+        out.push(FlowAction::Tell(self.spec.domains[self.domain].clone(), ShardMessage::Ask(ask)));
+    }
+
+    fn ask_again(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        let FlowStage::Asking { next, .. } = &mut self.stage else { return };
+        *next = now + ASK_RETRY;
+        self.send_ask(now, out);
+    }
+
+    fn current(&self) -> AttemptId {
+        AttemptId { request: self.spec.id.clone(), attempt: self.attempt }
+    }
+
+    fn is_current(&self, attempt: &AttemptId) -> bool {
+        attempt.request == self.spec.id && attempt.attempt == self.attempt
+    }
+
+    fn hear_owner(
+        &mut self,
+        now: Instant,
+        domain: DomainName,
+        message: ShardMessage,
+        out: &mut Vec<FlowAction>,
+    ) {
+        match message {
+            ShardMessage::Grant(grant) => self.take_grant(now, domain, grant, out),
+            ShardMessage::Queued(attempt) if self.is_current(&attempt) => {
+                if let FlowStage::Asking { next, heard, .. } = &mut self.stage {
+                    *next = now + QUEUED_RETRY;
+                    *heard = true;
+                    self.open(out);
+                }
+            }
+            ShardMessage::Refuse(attempt, refusal) if self.is_current(&attempt) => {
+                if matches!(self.stage, FlowStage::Asking { .. }) {
+                    self.take_refusal(now, refusal, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn open(&mut self, out: &mut Vec<FlowAction>) {
+        if !self.opened {
+            self.opened = true;
+            out.push(FlowAction::Open);
+        }
+    }
+
+    fn take_refusal(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<FlowAction>) {
+        let elsewhere = matches!(
+            refusal.reason,
+            RefusalReason::NoUpstream | RefusalReason::Overloaded | RefusalReason::TooLarge
+        );
+        let first = *self.refusal.get_or_insert(refusal);
+        let more = self.domain + 1 < self.spec.domains.len() && self.spills < MAX_SPILLS;
+        if elsewhere && more && now < self.spec.deadline {
+            self.spills += 1;
+            self.domain += 1;
+            return self.ask(now, out);
+        }
+        self.refuse(first, out);
+    }
+
+    fn finish(&mut self, out: &mut Vec<FlowAction>) {
+        if let FlowStage::Active(active) = std::mem::replace(&mut self.stage, FlowStage::Ended) {
+            let attempt = active.grant.claim.attempt;
+            out.push(FlowAction::Release(active.domain, attempt, ReleaseOutcome::Finished));
+        }
+        out.push(FlowAction::Finish);
+    }
+
+    fn refuse(&mut self, refusal: Refusal, out: &mut Vec<FlowAction>) {
+        self.stage = FlowStage::Ended;
+        let known = if self.touched { Verdict::MayHaveRun } else { Verdict::NotRun };
+        out.push(FlowAction::Refuse(refusal.with_verdict(refusal.verdict.or_worse(known))));
+    }
+
+    fn caller_gone(&mut self, out: &mut Vec<FlowAction>) {
+        if !self.spec.repeatable && matches!(self.stage, FlowStage::Active(_)) {
+            // The answer is still owed to whoever repeats the request with its ticket.
+            return;
+        }
+        self.touched |= matches!(self.stage, FlowStage::Active(_));
+        self.withdraw(out);
+        self.abort(ReleaseOutcome::Stopped, false, out);
+        self.stage = FlowStage::Ended;
+    }
+
+    fn withdraw(&self, out: &mut Vec<FlowAction>) {
+        if matches!(self.stage, FlowStage::Asking { .. }) && self.attempt > 0 {
+            let domain = self.spec.domains[self.domain].clone();
+            out.push(FlowAction::Tell(domain, ShardMessage::Withdraw(self.current())));
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        if now >= self.spec.deadline {
+            self.touched |= matches!(self.stage, FlowStage::Active(_));
+            self.withdraw(out);
+            self.abort(ReleaseOutcome::Stopped, false, out);
+            return self.refuse(Refusal::not_run(RefusalReason::DeadlinePassed), out);
+        }
+        match &mut self.stage {
+            FlowStage::Asking { next, .. } if *next > now => {}
+            FlowStage::Asking { first, heard: false, .. } if now >= *first + OWNER_LIMIT => {
+                self.withdraw(out);
+                let refusal = Refusal::not_run(RefusalReason::NoOwner).after(OWNER_WAIT);
+                self.refuse(refusal, out);
+            }
+            FlowStage::Asking { next, heard, .. } => {
+                *next = now + if *heard { QUEUED_RETRY } else { ASK_RETRY };
+                self.send_ask(now, out);
+            }
+            FlowStage::Active(active) if active.progress_due <= now => {
+                let attempt = active.grant.claim.attempt.clone();
+                let outcome = match active.running {
+                    true => ReleaseOutcome::RunnerLost,
+                    false => ReleaseOutcome::PrefillLost,
+                };
+                self.lose(now, &attempt, UpstreamLoss::Stalled, outcome, out);
+            }
+            FlowStage::Active(_) | FlowStage::Ended => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/ledger/admission.rs
@@ -0,0 +1,264 @@
+//! Who is admitted, who waits, and who is refused with a time to come back.
+
+use super::{ShardAction, ShardLedger};
+use crate::coordination::messages::{AskMessage, GrantMessage, ShardMessage};
+use crate::coordination::shard::queue::WaitingAsk;
+use crate::prelude::*;
+use crate::state::fleet::AccountGrant;
+use std::collections::BTreeSet;
+
+/// How many accounts are looked at when the neediest one's first ask finds no room.
+const MAX_HEADS: usize = 4;
+/// The weight of an account with no share.
+const MIN_SHARE: f64 = 0.000_001;
+/// The least time that an ask may wait, so that a request too long for its target still runs
+/// on an idle shard.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
+/// When to come back to a shard that has no upstream.
+const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(2);
+
+impl ShardLedger {
+    pub(super) fn take_ask(
+        &mut self,
+        now: Instant,
+        from: &DaemonId,
+        ask: AskMessage,
+    ) -> Option<ShardMessage> {
+        // Nobody would release what a dead entry is granted.
+        if !self.live.contains(from) {
+            return None;
+        }
+        let attempt = ask.attempt.clone();
+        if let Some(grant) = self.pool.grant_of(&attempt) {
+            return Some(ShardMessage::Grant(grant));
+        }
+        if self.queue.contains(&attempt) {
+            return Some(ShardMessage::Queued(attempt));
+        }
+        let template = self.template.clone()?;
+        if let Err(refusal) = self.check_ask(now, &template, &ask) {
+            return Some(ShardMessage::Refuse(attempt, refusal));
+        }
+        let grant = self.grants[&ask.account];
+        let patience = self.patience(&template, &ask);
+        let waiting = WaitingAsk { from: from.clone(), latest_start: now + patience, ask };
+        if let Some(granted) = self.try_grant_now(now, &template, &grant, &waiting) {
+            return Some(ShardMessage::Grant(granted));
+        }
+        if let Some(refusal) = self.refuse_hopeless(now, &template, &waiting) {
+            return Some(ShardMessage::Refuse(attempt, refusal));
+        }
+        self.queue.push(waiting, &grant);
+        Some(ShardMessage::Queued(attempt))
+    }
+
+    pub(super) fn check_ask(
+        &self,
+        now: Instant,
+        template: &ServiceTemplate,
+        ask: &AskMessage,
+    ) -> Result<(), Refusal> {
+        let refuse = |reason| Err(Refusal::not_run(reason));
+        let Some(grant) = self.grants.get(&ask.account) else {
+            return refuse(RefusalReason::Forbidden);
+        };
+        let usable = self.pool.usable(now);
+        let lacks_prefill = self.pool.needs_prefill() && usable.prefill == 0;
+        if usable.run == 0 || lacks_prefill {
+            let refusal = Refusal::not_run(RefusalReason::NoUpstream);
+            return Err(refusal.after(NO_UPSTREAM_WAIT));
+        }
+        if !self.pool.could_hold(pieces_of(template, ask)) {
+            return refuse(RefusalReason::TooLarge);
+        }
+        if self.queue.waiting_of(&ask.account) >= grant.max_waiting as usize {
+            let refusal = Refusal::not_run(RefusalReason::AccountLimit);
+            return Err(refusal.after(NO_UPSTREAM_WAIT));
+        }
+        Ok(())
+    }
+
+    /// Returns how long an ask can wait and still meet its target.
+    pub(super) fn patience(&self, template: &ServiceTemplate, ask: &AskMessage) -> Duration {
+        let prefill = template.prefill_tokens_per_second.time_for(ask.prompt);
+        let transfer = template.link_tokens_per_second.time_for(ask.prompt);
+        ask.first_token_within.saturating_sub(prefill + transfer).max(MIN_PATIENCE)
+    }
+
+    pub(super) fn try_grant_now(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        grant: &AccountGrant,
+        waiting: &WaitingAsk,
+    ) -> Option<GrantMessage> {
+        if self.queue.len() > 0 || !self.may_grant(now) || self.is_over_ceiling(now, waiting, grant)
+        {
+            return None;
+        }
+        self.grant(now, template, waiting)
+    }
+
+    /// Refuses an ask whose turn would come too late, and books a time for it to come back.
+    pub(super) fn refuse_hopeless(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingAsk,
+    ) -> Option<Refusal> {
+        if !self.may_grant(now) || waiting.ask.resuming {
+            return None;
+        }
+        let account = &waiting.ask.account;
+        let rate = self.account_rate(now, template, waiting);
+        let free = match waiting.ask.returning {
+            true => 1.0,
+            false => self.bookings.free_part(now, account),
+        };
+        let ahead = self.queue.ahead_of(account, waiting.ask.returning) as f64 + 1.0;
+        let wait = ahead / (rate * free).max(0.001);
+        let patience = waiting.latest_start.saturating_duration_since(now);
+        if wait <= patience.as_secs_f64() {
+            return None;
+        }
+        let after = self.book(now, template, waiting);
+        Some(Refusal::not_run(RefusalReason::Overloaded).after(after))
+    }
+
+    /// Returns how many requests a second the shard can start for an account.
+    pub(super) fn account_rate(
+        &self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingAsk,
+    ) -> f64 {
+        let account = &waiting.ask.account;
+        let rate = self.shard_rate(now, template, &waiting.ask);
+        let held = f64::from(self.queue.held_of(account));
+        // An account below its share is served before the others.
+        if held < self.share_of(account) * f64::from(self.pool.usable(now).run) {
+            return rate;
+        }
+        rate * self.fraction_of(now, account)
+    }
+
+    pub(super) fn shard_rate(
+        &self,
+        now: Instant,
+        template: &ServiceTemplate,
+        ask: &AskMessage,
+    ) -> f64 {
+        let prefill = template.prefill_tokens_per_second.time_for(ask.prompt);
+        let run = template.between_token_target * ask.answer.0;
+        self.estimate.rate(self.pool.usable(now), prefill + run, prefill)
+    }
+
+    pub(super) fn share_of(&self, account: &AccountName) -> f64 {
+        self.grants.get(account).map_or(0.0, |grant| grant.share).max(MIN_SHARE)
+    }
+
+    /// Returns the part of the capacity that an account gets beside all others that wait or are
+    /// to come back.
+    pub(super) fn fraction_of(&self, now: Instant, account: &AccountName) -> f64 {
+        let waiting = self.queue.waiting_accounts();
+        let active: BTreeSet<_> = waiting.chain(self.bookings.booked(now)).collect();
+        let others = active.into_iter().filter(|other| *other != account);
+        let sum: f64 = others.map(|other| self.share_of(other)).sum();
+        let own = self.share_of(account);
+        own / (own + sum)
+    }
+
+    /// Books a time to come back, at the rate that is the account's own even when all others
+    /// come back too.
+    pub(super) fn book(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingAsk,
+    ) -> Duration {
+        let account = &waiting.ask.account;
+        let rate = self.shard_rate(now, template, &waiting.ask) * self.fraction_of(now, account);
+        self.bookings.book(now, account, rate)
+    }
+
+    pub(super) fn is_over_ceiling(
+        &self,
+        now: Instant,
+        waiting: &WaitingAsk,
+        grant: &AccountGrant,
+    ) -> bool {
+        if grant.ceiling >= 1.0 {
+            return false;
+        }
+        let limit = (grant.ceiling * f64::from(self.pool.usable(now).run)).max(1.0);
+        f64::from(self.pool.held_of(&waiting.ask.account)) >= limit
+    }
+
+    pub(super) fn may_grant(&self, now: Instant) -> bool {
+        self.recovery.as_ref().is_none_or(|recovery| recovery.is_over(now))
+    }
+
+    pub(super) fn schedule(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        if !self.may_grant(now) {
+            return;
+        }
+        self.recovery = None;
+        let Some(template) = self.template.clone() else { return };
+        while let Some((from, granted)) = self.grant_next(now, &template) {
+            actions.push(ShardAction::Send(from, ShardMessage::Grant(granted)));
+        }
+    }
+
+    pub(super) fn grant_next(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+    ) -> Option<(DaemonId, GrantMessage)> {
+        for waiting in self.queue.heads(MAX_HEADS) {
+            let grant = self.grants.get(&waiting.ask.account).copied();
+            if grant.is_some_and(|grant| self.is_over_ceiling(now, &waiting, &grant)) {
+                continue;
+            }
+            if let Some(granted) = self.grant(now, template, &waiting) {
+                self.queue.remove(&waiting.ask.attempt);
+                return Some((waiting.from, granted));
+            }
+        }
+        None
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingAsk,
+    ) -> Option<GrantMessage> {
+        let ask = &waiting.ask;
+        let pieces = pieces_of(template, ask);
+        let granted = self.pool.place(now, ask, pieces, &self.prefixes)?;
+        if let Some(prefill) = &granted.claim.prefill {
+            self.prefixes.record(&ask.prefix, prefill);
+        }
+        self.pool.insert(now, granted.claim.clone());
+        self.refresh_account(&ask.account);
+        Some(granted)
+    }
+
+    pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        if !self.may_grant(now) {
+            return;
+        }
+        let Some(template) = self.template.clone() else { return };
+        while let Some(waiting) = self.queue.pop_expired(now) {
+            let wait = self.book(now, &template, &waiting);
+            let refusal = Refusal::not_run(RefusalReason::Overloaded).after(wait);
+            let message = ShardMessage::Refuse(waiting.ask.attempt, refusal);
+            actions.push(ShardAction::Send(waiting.from, message));
+        }
+    }
+}
+
+/// Returns the engine memory that a request is charged for: its prompt and longest answer.
+fn pieces_of(template: &ServiceTemplate, ask: &AskMessage) -> Pieces {
+    Tokens(ask.prompt.0.saturating_add(ask.answer.0)).pieces(template.piece_tokens)
+}
--- /dev/null
+++ b/src/coordination/shard/ledger/claims.rs
@@ -0,0 +1,103 @@
+//! What attempts hold at the upstreams, and how the ledger stays in agreement with the entries.
+
+use super::{ShardAction, ShardLedger};
+use crate::coordination::claims::digest_claims;
+use crate::coordination::messages::{ClaimPhase, ReleaseOutcome, ShardMessage, SlotClaim};
+use crate::prelude::*;
+use std::collections::BTreeSet;
+
+/// How long a grant may be on its way before an entry's list must name it.
+const GRANT_TRAVEL: Duration = Duration::from_secs(2);
+
+impl ShardLedger {
+    pub(super) fn take_claim(&mut self, now: Instant, claim: SlotClaim) {
+        let attempt = claim.attempt.clone();
+        if let Some(held) = self.pool.claim(&attempt) {
+            if held.cancelling.is_some() {
+                return;
+            }
+            let finished_prefill =
+                held.claim.phase == ClaimPhase::Prefill && claim.phase != ClaimPhase::Prefill;
+            if finished_prefill {
+                self.estimate.prefill.add(now - held.since);
+            }
+        }
+        let account = claim.account.clone();
+        self.pool.insert(now, claim);
+        if !self.live.contains(&attempt.request.entry) {
+            self.orphan(now, &attempt);
+        }
+        self.refresh_account(&account);
+    }
+
+    pub(super) fn release(&mut self, now: Instant, attempt: &AttemptId, outcome: ReleaseOutcome) {
+        let Some(held) = self.pool.claim(attempt) else { return };
+        let claim = held.claim.clone();
+        let since = held.since;
+        match outcome {
+            ReleaseOutcome::Finished => {
+                self.estimate.hold.add(now - since);
+                self.pool.note_success(&claim.runner);
+                claim.prefill.iter().for_each(|name| self.pool.note_success(name));
+            }
+            ReleaseOutcome::Stopped => {}
+            ReleaseOutcome::Unconfirmed => return self.orphan(now, attempt),
+            ReleaseOutcome::PrefillLost => {
+                let lost = claim.prefill.as_ref().unwrap_or(&claim.runner);
+                self.pool.note_failure(now, lost);
+                self.prefixes.void(lost);
+                return self.orphan(now, attempt);
+            }
+            ReleaseOutcome::RunnerLost => {
+                self.pool.note_failure(now, &claim.runner);
+                return match self.is_plain() {
+                    true => self.free(attempt),
+                    false => self.pool.orphan_run(now, attempt),
+                };
+            }
+            ReleaseOutcome::RunnerFull => self.pool.note_full(now, &claim.runner),
+        }
+        self.free(attempt);
+    }
+
+    pub(super) fn free(&mut self, attempt: &AttemptId) {
+        if let Some(held) = self.pool.remove(attempt) {
+            self.refresh_account(&held.claim.account);
+        }
+    }
+
+    pub(super) fn compare(
+        &mut self,
+        from: DaemonId,
+        count: u32,
+        digest: u64,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let own = self.pool.claims_of(&from).filter(|held| held.cancelling.is_none());
+        if digest_claims(own.map(|held| &held.claim)) != (count, digest) {
+            actions.push(ShardAction::Send(from, ShardMessage::Pull));
+        } else if let Some(recovery) = &mut self.recovery {
+            recovery.settle(&from);
+        }
+    }
+
+    /// Makes the ledger agree with what an entry says it holds.
+    pub(super) fn reconcile(&mut self, now: Instant, from: &DaemonId, claims: Vec<SlotClaim>) {
+        let listed: BTreeSet<_> = claims.iter().map(|claim| claim.attempt.clone()).collect();
+        let own = claims.into_iter().filter(|claim| claim.attempt.request.entry == *from);
+        own.for_each(|claim| self.take_claim(now, claim));
+        let missing = self.pool.claims_of(from).filter(|held| {
+            !listed.contains(&held.claim.attempt) && now >= held.since + GRANT_TRAVEL
+        });
+        let missing: Vec<_> = missing.map(|held| held.claim.attempt.clone()).collect();
+        missing.iter().for_each(|attempt| self.orphan(now, attempt));
+        if let Some(recovery) = &mut self.recovery {
+            recovery.settle(from);
+        }
+    }
+
+    pub(super) fn cancel_orphans(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        let due = self.pool.due_cancels(now);
+        actions.extend(due.into_iter().map(|(spec, attempt)| ShardAction::Cancel(spec, attempt)));
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets, HTTP and timers. This layer feeds events to the decisions and carries out their
 //! actions; it decides nothing itself.
 
+pub mod claims;
 pub mod consul;
 pub mod daemon;
 pub mod engine;
@@ -11,6 +12,7 @@
 pub mod logs;
 pub mod node;
 pub mod requests;
+pub mod runs;
 pub mod settings;
 pub mod shards;
 pub mod tickets;
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -1,22 +1,17 @@
 //! Drives one request: feeds its flow with events and carries out the flow's actions.
 
-use crate::coordination::claims::ClaimBook;
-use crate::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
-};
-use crate::coordination::messages::{
-    ClaimPhase, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
-};
+use crate::coordination::flow::{FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec};
+use crate::coordination::messages::{ClaimPhase, PeerMessage, ReleaseOutcome, SlotClaim};
 use crate::coordination::tickets::StoredAnswer;
 use crate::prelude::*;
-use crate::transport::engine::{CallContext, EngineEvent, PlainCall};
+use crate::transport::claims::release;
+use crate::transport::engine::CallContext;
 use crate::transport::node::{Node, lock};
+use crate::transport::runs::{UpstreamRun, UpstreamWork};
 use fastrace::Span;
 use fastrace::collector::SpanContext;
-use futures::StreamExt;
 use futures::future::join_all;
 use metrics::{counter, histogram};
-use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -29,45 +24,9 @@
 const FINAL_PATIENCE: Duration = Duration::from_secs(1);
 /// How often an entry tries to cancel before it leaves that to the shard's owner.
 const CANCEL_TRIES: usize = 2;
-/// How often an entry tells owners and backups what it holds, when no member changes.
-const SUMMARY_PERIOD: Duration = Duration::from_secs(5);
-/// After how many of these periods it repeats whose tickets it answers for.
-const INHERITANCE_TURNS: u32 = 6;
 /// The longest sleep between two looks at the clock.
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
-/// The claims of this entry by shard.
-#[derive(Debug, Default)]
-pub struct ClaimTable {
-    books: BTreeMap<(ServiceName, DomainName), ClaimBook>,
-}
-
-impl ClaimTable {
-    /// Returns the message that lists the claims in one shard.
-    pub fn list(&self, service: &ServiceName, domain: &DomainName) -> ShardMessage {
-        let book = self.books.get(&(service.clone(), domain.clone()));
-        book.map_or(ShardMessage::ClaimList(Vec::new()), ClaimBook::list)
-    }
-
-    fn book(&mut self, service: &ServiceName, domain: &DomainName) -> &mut ClaimBook {
-        self.books.entry((service.clone(), domain.clone())).or_default()
-    }
-}
-
-/// What an upstream is asked to do.
-#[derive(Clone, Debug)]
-pub enum UpstreamWork {
-    /// A call that is passed on as it is.
-    Plain(PlainCall),
-    /// An answer of a model.
-    Tokens {
-        /// The request's body.
-        body: Value,
-        /// The path at the engine.
-        path: String,
-    },
-}
-
 /// What the caller gets, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerPart {
@@ -374,59 +333,6 @@
     }
 }
 
-/// One run at a decode worker or plain upstream.
-struct UpstreamRun {
-    address: SocketAddr,
-    answer: Arc<Mutex<Option<StoredAnswer>>>,
-    context: CallContext,
-    events: UnboundedSender<FlowEvent>,
-    from: u32,
-    handle: Option<KvHandle>,
-    node: Arc<Node>,
-    work: Arc<UpstreamWork>,
-}
-
-impl UpstreamRun {
-    async fn run(self) {
-        let attempt = self.context.attempt.clone();
-        let event = match &*self.work {
-            UpstreamWork::Plain(call) => self.call(call).await,
-            UpstreamWork::Tokens { body, path } => self.decode(body, path).await,
-        };
-        let _ = self.events.send(match event {
-            Ok(event) => event,
-            Err(loss) => FlowEvent::RunFailed(attempt, loss),
-        });
-    }
-
-    async fn call(&self, call: &PlainCall) -> Result<FlowEvent, UpstreamLoss> {
-        let answer = self.node.upstreams.call(self.address, call, &self.context).await?;
-        *lock(&self.answer) = Some(answer);
-        Ok(FlowEvent::CallAnswered(self.context.attempt.clone()))
-    }
-
-    async fn decode(&self, body: &Value, path: &str) -> Result<FlowEvent, UpstreamLoss> {
-        let upstreams = &self.node.upstreams;
-        let handle = self.handle.as_ref();
-        let events =
-            upstreams.decode(self.address, path, body, handle, self.from, &self.context).await?;
-        let mut events = std::pin::pin!(events);
-        while let Some(event) = events.next().await {
-            let attempt = self.context.attempt.clone();
-            match event {
-                Ok(EngineEvent::Token { marked, index, text }) => {
-                    let token = FlowEvent::Token { attempt, index, marked, text };
-                    let _ = self.events.send(token);
-                }
-                Ok(EngineEvent::End(total)) => return Ok(FlowEvent::RunEnded(attempt, total)),
-                Err(_) => break,
-            }
-        }
-        // Without an end marker the answer is not whole.
-        Err(upstreams.diagnose(self.address).await)
-    }
-}
-
 async fn cancel_everywhere(node: &Node, upstreams: &[SocketAddr], attempt: &AttemptId) -> bool {
     let cancels = upstreams.iter().map(|address| async move {
         for _ in 0..CANCEL_TRIES {
@@ -438,60 +344,3 @@
     });
     join_all(cancels).await.into_iter().all(|confirmed| confirmed)
 }
-
-fn release(
-    node: &Arc<Node>,
-    service: &ServiceName,
-    domain: &DomainName,
-    attempt: AttemptId,
-    outcome: ReleaseOutcome,
-) {
-    lock(&node.claims).book(service, domain).remove(&attempt);
-    node.tell_claim_holders(service, domain, &ShardMessage::Release(attempt, outcome));
-}
-
-/// Tells owners and backups now and then what this entry holds.
-pub async fn send_summaries(node: Arc<Node>) {
-    let mut interval = tokio::time::interval(SUMMARY_PERIOD);
-    let mut turn = 0;
-    loop {
-        interval.tick().await;
-        turn += 1;
-        if turn % INHERITANCE_TURNS == 0 {
-            node.announce_inheritance();
-        }
-        node.send_summaries();
-        let wall = node.clock.wall();
-        lock(&node.tickets).prune(wall);
-        node.gauge_shards();
-    }
-}
-
-impl Node {
-    /// Tells owners and backups what this entry holds. Own shards hear it even when it is
-    /// nothing, since a new owner waits for it.
-    pub fn send_summaries(self: &Arc<Self>) {
-        let domain = self.settings.domain.clone();
-        let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
-        let mut summaries: BTreeMap<_, _> = {
-            let claims = lock(&self.claims);
-            let books = claims.books.iter();
-            books.map(|(shard, book)| (shard.clone(), book.summary())).collect()
-        };
-        lock(&self.claims).books.retain(|_, book| !book.is_empty());
-        for service in services {
-            let empty = || ClaimBook::default().summary();
-            summaries.entry((service, domain.clone())).or_insert_with(empty);
-        }
-        for ((service, domain), summary) in summaries {
-            self.tell_claim_holders(&service, &domain, &summary);
-        }
-    }
-
-    /// Lets every waiting request ask the perhaps new owner.
-    pub fn owners_changed(&self) {
-        for sender in lock(&self.flows).values() {
-            let _ = sender.send(FlowEvent::OwnerChanged);
-        }
-    }
-}
