Give engines orders under a lease with fencing numbers

Change: a template's adapters are a state that the shard's owner reads and repairs under the store's lease; orders carry the lock index; engines that ignore it are protected by looking at the lease before sending and by a successor's wait. Store adapter and stand-in speak sessions, the engine stand-in loads adapters and can check numbers. Ruled out: leases held all the time (36 renewals a second at the two-year size); the owner's view alone. A test that failed while its load threads ran never ended; they now end with the test.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod flow;
 pub mod membership;
 pub mod messages;
+pub mod orders;
 pub mod ownership;
 pub mod shard;
 pub mod store;
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -3,6 +3,7 @@
 //! The service is run by the platform; this project keeps no store of its own. Its answers may be
 //! lost after a write took effect, so a write's error says whether that is possible.
 
+use crate::coordination::orders::FencingNumber;
 use crate::prelude::*;
 use crate::state::fleet::{DocumentName, StoredDocument};
 use futures::future::BoxFuture;
@@ -21,10 +22,23 @@
     pub bytes: Vec<u8>,
     /// Where a later watch goes on.
     pub index: StoreVersion,
+    /// How often the key has been leased.
+    pub lock_index: u64,
     /// The version, for comparison on the next write.
     pub version: StoreVersion,
 }
 
+/// A lease as the store granted it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaseGrant {
+    /// Whether the holder before gave it back, or there was none.
+    pub clean: bool,
+    /// Its number, higher than every earlier one of the same key.
+    pub fence: FencingNumber,
+    /// The store's name for the lease.
+    pub session: String,
+}
+
 /// Why a call to the store gave no answer.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum StoreError {
@@ -56,6 +70,22 @@
     /// Removes a value; used only for what nothing refers to any more.
     fn remove<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(), StoreError>>;
 
+    /// Takes a lease on a key for a time and writes a value that says who holds it; nothing when
+    /// somebody else holds it.
+    fn acquire<'a>(
+        &'a self,
+        key: &'a str,
+        holder: &'a str,
+        time: Duration,
+    ) -> BoxFuture<'a, Result<Option<LeaseGrant>, StoreError>>;
+
+    /// Gives a lease back, which marks the key as given back.
+    fn give_back<'a>(
+        &'a self,
+        key: &'a str,
+        session: &'a str,
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
+
     /// Waits until something came after the index `seen` or `wait` has passed, and reads it.
     fn watch<'a>(
         &'a self,
@@ -80,6 +110,11 @@
     format!("apricotrun/doc/{name}@{}-{}", place.revision, place.edit)
 }
 
+/// Returns the key of the lease under which a shard's engines are given orders.
+pub fn lease_key(service: &ServiceName, domain: &DomainName) -> String {
+    format!("apricotrun/lease/{service}/{domain}")
+}
+
 /// Returns the key that binds a caller's idempotency key to a ticket.
 pub fn binding_key(account: &AccountName, key: &str) -> String {
     let digest = Fingerprint::of(&[account.as_str().as_bytes(), key.as_bytes()]);
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -35,6 +35,9 @@
     /// Its HTTP address.
     #[serde_as(as = "DisplayFromStr")]
     pub address: SocketAddr,
+    /// Whether it refuses an order that carries an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
     /// The failure domain that it stands in.
     pub domain: DomainName,
     /// Whether it takes no new work, because it is leaving.
@@ -51,6 +54,16 @@
     pub slots: Slots,
 }
 
+/// An adapter that the engines of a service must have loaded.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterSpec {
+    /// The name under which callers ask for it.
+    pub name: String,
+    /// Where the engine finds its weights.
+    pub path: String,
+}
+
 /// A kind of call that may not be repeated: a method and the start of a path.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(into = "String", try_from = "String")]
@@ -116,6 +129,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceTemplate {
+    /// The adapters that every engine must have loaded, and no others; engines without this key
+    /// are left as they are.
+    #[serde(default, rename = "adapter", skip_serializing_if = "Option::is_none")]
+    pub adapters: Option<Vec<AdapterSpec>>,
     /// The target for the time between two tokens, in milliseconds.
     #[serde(default, rename = "between_token_target_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -165,6 +182,12 @@
     }
 
     fn check(&self) -> Result<(), String> {
+        let mut adapters = BTreeSet::new();
+        for adapter in self.adapters.iter().flatten() {
+            if adapter.name.is_empty() || !adapters.insert(&adapter.name) {
+                return Err(format!("adapter {:?} is empty or stands twice", adapter.name));
+            }
+        }
         let mut names = BTreeSet::new();
         for upstream in &self.upstreams {
             if !names.insert(&upstream.name) {
--- a/src/transport/consul.rs
+++ b/src/transport/consul.rs
@@ -1,7 +1,8 @@
 //! Speaks the key-value HTTP API that Consul publishes: versions, compare-and-swap and blocking
 //! reads.
 
-use crate::coordination::store::{KeyStore, StoreError, StoreVersion, StoredValue};
+use crate::coordination::orders::FencingNumber;
+use crate::coordination::store::{KeyStore, LeaseGrant, StoreError, StoreVersion, StoredValue};
 use crate::prelude::*;
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -9,11 +10,14 @@
 use futures::future::BoxFuture;
 use reqwest::{Client, RequestBuilder, Response};
 use serde::Deserialize;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The value of a lease's key whose holder gave it back.
+const GIVEN_BACK: &str = "given back";
 /// How many calls a second one daemon makes at most, on average.
 const CALLS_PER_SECOND: f64 = 20.0;
 /// How many calls may come at once.
@@ -42,9 +46,9 @@
 /// The store adapter.
 #[derive(Debug)]
 pub struct ConsulStore {
-    base: String,
     budget: Mutex<CallBudget>,
     client: Client,
+    root: String,
 }
 
 impl ConsulStore {
@@ -61,11 +65,12 @@
             .connect_timeout(CALL_TIMEOUT)
             .build()?;
         let budget = CallBudget { filled: Instant::now(), left: CALL_BURST };
-        Ok(Self { base: format!("http://{address}/v1/kv/"), budget: Mutex::new(budget), client })
+        let root = format!("http://{address}/v1");
+        Ok(Self { budget: Mutex::new(budget), client, root })
     }
 
     fn url(&self, key: &str) -> String {
-        format!("{}{key}", self.base)
+        format!("{}/kv/{key}", self.root)
     }
 
     async fn send(&self, request: RequestBuilder) -> Result<Response, StoreError> {
@@ -83,6 +88,26 @@
         }
     }
 
+    /// Sends a write that the store answers with true or false.
+    async fn send_put(&self, request: RequestBuilder) -> Result<bool, StoreError> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let text = response.text().await;
+        match text.map_err(|error| StoreError::Unknown(error.to_string()))?.trim() {
+            "true" => Ok(true),
+            "false" => Ok(false),
+            other => Err(StoreError::Unreachable(format!("status {status}: {other}"))),
+        }
+    }
+
+    async fn create_session(&self, time: Duration) -> Result<String, StoreError> {
+        let body = json!({ "TTL": format!("{}s", time.as_secs()), "Behavior": "release" });
+        let url = format!("{}/session/create", self.root);
+        let response = self.send(self.client.put(url).json(&body).timeout(CALL_TIMEOUT)).await?;
+        let created: Result<CreatedSession, _> = response.json().await;
+        created.map(|session| session.id).map_err(|e| StoreError::Invalid(e.to_string()))
+    }
+
     async fn read(&self, request: RequestBuilder) -> Result<Option<StoredValue>, StoreError> {
         let response = self.send(request).await.map_err(without_effect)?;
         if response.status().as_u16() == 404 {
@@ -100,9 +125,18 @@
     }
 }
 
+/// A new session as the store sends it.
+#[derive(Debug, Deserialize)]
+struct CreatedSession {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
 /// A pair as the store sends it.
 #[derive(Debug, Deserialize)]
 struct KeyPair {
+    #[serde(default, rename = "LockIndex")]
+    lock_index: u64,
     #[serde(rename = "ModifyIndex")]
     modify_index: u64,
     #[serde(rename = "Value")]
@@ -116,7 +150,8 @@
     let pair = pairs.into_iter().next().ok_or_else(|| invalid("an empty list".to_owned()))?;
     let text = pair.value.unwrap_or_default();
     let bytes = BASE64_STANDARD.decode(text).map_err(|error| invalid(error.to_string()))?;
-    Ok(StoredValue { bytes, index, version: StoreVersion(pair.modify_index) })
+    let version = StoreVersion(pair.modify_index);
+    Ok(StoredValue { bytes, index, lock_index: pair.lock_index, version })
 }
 
 /// A read changes nothing, whatever became of its answer.
@@ -141,14 +176,7 @@
     ) -> BoxFuture<'a, Result<bool, StoreError>> {
         async move {
             let request = self.client.put(self.url(key)).query(&[("cas", expected.0)]);
-            let response = self.send(request.body(bytes).timeout(CALL_TIMEOUT)).await?;
-            let status = response.status();
-            let text = response.text().await;
-            match text.map_err(|error| StoreError::Unknown(error.to_string()))?.trim() {
-                "true" => Ok(true),
-                "false" => Ok(false),
-                other => Err(StoreError::Unreachable(format!("status {status}: {other}"))),
-            }
+            self.send_put(request.body(bytes).timeout(CALL_TIMEOUT)).await
         }
         .boxed()
     }
@@ -161,6 +189,44 @@
         .boxed()
     }
 
+    fn acquire<'a>(
+        &'a self,
+        key: &'a str,
+        holder: &'a str,
+        time: Duration,
+    ) -> BoxFuture<'a, Result<Option<LeaseGrant>, StoreError>> {
+        async move {
+            let before = self.get(key).await?;
+            let clean = before.is_none_or(|value| value.bytes == GIVEN_BACK.as_bytes());
+            let session = self.create_session(time).await?;
+            let request = self.client.put(self.url(key)).query(&[("acquire", &session)]);
+            let request = request.body(holder.to_owned()).timeout(CALL_TIMEOUT);
+            if !self.send_put(request).await? {
+                return Ok(None);
+            }
+            let held = self.get(key).await?;
+            let held = held.ok_or_else(|| StoreError::Invalid(format!("{key} is missing")))?;
+            let fence = FencingNumber(held.lock_index);
+            Ok(Some(LeaseGrant { clean, fence, session }))
+        }
+        .boxed()
+    }
+
+    fn give_back<'a>(
+        &'a self,
+        key: &'a str,
+        session: &'a str,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        async move {
+            let request = self.client.put(self.url(key)).query(&[("release", session)]);
+            let request = request.body(GIVEN_BACK).timeout(CALL_TIMEOUT);
+            self.send_put(request).await?;
+            let url = format!("{}/session/destroy/{session}", self.root);
+            self.send(self.client.put(url).timeout(CALL_TIMEOUT)).await.map(|_| ())
+        }
+        .boxed()
+    }
+
     fn watch<'a>(
         &'a self,
         key: &'a str,
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -13,6 +13,7 @@
 use crate::transport::http;
 use crate::transport::links::{PeerLinks, serve_links};
 use crate::transport::node::{Node, lock};
+use crate::transport::orders::{OrderTable, tick_orders};
 use crate::transport::settings::DaemonSettings;
 use crate::transport::shards::{ShardTable, tick_shards};
 use crate::transport::{gossip, logs, watcher};
@@ -57,6 +58,7 @@
     tokio::spawn(gossip::serve_gossip(node.clone()));
     tokio::spawn(gossip::tick_members(node.clone()));
     tokio::spawn(tick_shards(node.clone()));
+    tokio::spawn(tick_orders(node.clone()));
     tokio::spawn(send_summaries(node.clone()));
     tokio::spawn(watcher::watch_store(node.clone()));
     let server = http::mount(rocket::custom(http_config(&node.settings)), node.clone());
@@ -131,6 +133,7 @@
         tickets: Mutex::new(TicketTable::new(me.clone())),
         tickets_taken: Notify::new(),
         upstreams: UpstreamClient::new()?,
+        orders: Mutex::new(OrderTable::new()),
         me,
         settings,
     })
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -2,12 +2,14 @@
 //! extensions that vLLM publishes. See docs/PROTOCOL.md.
 
 use crate::coordination::flow::{KvHandle, UpstreamLoss};
+use crate::coordination::orders::{EngineOrder, FencingNumber, ORDER_LIMIT, OrderOutcome};
 use crate::coordination::tickets::StoredAnswer;
 use crate::prelude::*;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// How long connecting to an upstream may take.
@@ -216,6 +218,42 @@
         matches!(request.send().await, Ok(response) if response.status().is_success())
     }
 
+    /// Returns the adapters that an engine has loaded; nothing when it does not say.
+    pub async fn adapters(&self, address: SocketAddr) -> Option<BTreeSet<String>> {
+        let request = self.pooled.get(format!("http://{address}/v1/models"));
+        let response = request.timeout(CANCEL_TIMEOUT).send().await.ok()?;
+        let body: Value = response.error_for_status().ok()?.json().await.ok()?;
+        let models = body["data"].as_array()?;
+        // An adapter names the model that it belongs to.
+        let adapters = models.iter().filter(|model| !model["parent"].is_null());
+        Some(adapters.filter_map(|model| model["id"].as_str().map(str::to_owned)).collect())
+    }
+
+    /// Gives an engine an order.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        order: &EngineOrder,
+        fence: FencingNumber,
+    ) -> OrderOutcome {
+        let (path, body) = match order {
+            EngineOrder::Load(adapter) => (
+                "load_lora_adapter",
+                json!({ "lora_name": adapter.name, "lora_path": adapter.path }),
+            ),
+            EngineOrder::Unload(name) => ("unload_lora_adapter", json!({ "lora_name": name })),
+        };
+        let request = self.fresh.post(format!("http://{address}/v1/{path}")).json(&body);
+        let request = request.header("X-Fencing-Number", fence.0).timeout(ORDER_LIMIT);
+        match request.send().await {
+            Ok(response) if response.status().is_success() => OrderOutcome::Done,
+            Ok(response) if response.status().as_u16() == 412 => OrderOutcome::Stale,
+            Ok(_) => OrderOutcome::Refused,
+            Err(error) if error.is_connect() => OrderOutcome::Refused,
+            Err(_) => OrderOutcome::Unknown,
+        }
+    }
+
     /// Finds out whether an upstream whose connection broke still lives.
     pub async fn diagnose(&self, address: SocketAddr) -> UpstreamLoss {
         let request = self.fresh.get(format!("http://{address}/health")).timeout(HEALTH_TIMEOUT);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod links;
 pub mod logs;
 pub mod node;
+pub mod orders;
 pub mod requests;
 pub mod runs;
 pub mod settings;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,6 +1,6 @@
 //! What the parts of one daemon share, and the way of messages between daemons.
 //!
-//! Lock order: `config`, `members`, `shards`, `claims`, `tickets`, `crashes`, `flows`, `blocked`.
+//! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `flows`, `blocked`.
 //! A thread that holds a later lock never takes an earlier one, and none is held across an await.
 
 use crate::coordination::config::ConfigKeeper;
@@ -17,6 +17,7 @@
 use crate::transport::claims::ClaimTable;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::links::PeerLinks;
+use crate::transport::orders::OrderTable;
 use crate::transport::settings::DaemonSettings;
 use crate::transport::shards::ShardTable;
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,8 @@
     pub me: DaemonId,
     /// The members.
     pub members: Mutex<MemberTable>,
+    /// The orders to the engines of owned shards.
+    pub orders: Mutex<OrderTable>,
     /// Sends the membership's datagrams.
     pub gossip: UdpSocket,
     /// The settings.
--- /dev/null
+++ b/src/transport/orders.rs
@@ -0,0 +1,139 @@
+//! Carries out the orders of the shards that this daemon owns: the store's lease, the engines'
+//! adapters.
+
+use crate::coordination::orders::{
+    EngineOrder, FencingNumber, LEASE_TIME, OrderAction, OrderEvent, OrderKeeper, OrderOutcome,
+};
+use crate::coordination::shard::ShardRole;
+use crate::coordination::store::lease_key;
+use crate::prelude::*;
+use crate::transport::node::{Node, lock};
+use metrics::counter;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How often the keepers' timer turns.
+const TICK: Duration = Duration::from_millis(250);
+
+/// One shard's keeper with the store's name for its lease.
+#[derive(Debug)]
+pub struct ShardOrders {
+    keeper: OrderKeeper,
+    session: Option<String>,
+}
+
+/// The keepers by service.
+pub type OrderTable = BTreeMap<ServiceName, ShardOrders>;
+
+/// Turns the keepers' timer until the task is dropped.
+pub async fn tick_orders(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let services: Vec<_> = lock(&node.orders).keys().cloned().collect();
+        for service in services {
+            let owns = node.owns_shard(&service);
+            node.feed_orders(&service, OrderEvent::Owner(owns));
+        }
+    }
+}
+
+impl Node {
+    /// Gives every keeper its template, and drops those without one.
+    pub fn configure_orders(self: &Arc<Self>, config: &FleetConfig) {
+        lock(&self.orders).retain(|service, _| config.templates.contains_key(service));
+        let now = self.clock.now();
+        for (service, template) in &config.templates {
+            let domain = &self.settings.domain;
+            let local = template.upstreams.iter().filter(|spec| spec.domain == *domain);
+            let event = OrderEvent::Configure(template.adapters.clone(), local.cloned().collect());
+            lock(&self.orders)
+                .entry(service.clone())
+                .or_insert_with(|| ShardOrders { keeper: OrderKeeper::new(now), session: None });
+            self.feed_orders(service, event);
+        }
+    }
+
+    fn owns_shard(&self, service: &ServiceName) -> bool {
+        let shards = lock(&self.shards);
+        shards.get(service).is_some_and(|ledger| ledger.role() == ShardRole::Owner)
+    }
+
+    fn feed_orders(self: &Arc<Self>, service: &ServiceName, event: OrderEvent) {
+        let now = self.clock.now();
+        let actions = match lock(&self.orders).get_mut(service) {
+            Some(orders) => orders.keeper.handle(now, event),
+            None => return,
+        };
+        for action in actions {
+            let (node, service) = (self.clone(), service.clone());
+            tokio::spawn(async move { node.carry_out_order(&service, action).await });
+        }
+    }
+
+    async fn carry_out_order(self: Arc<Self>, service: &ServiceName, action: OrderAction) {
+        match action {
+            OrderAction::Observe(spec) => {
+                if let Some(adapters) = self.upstreams.adapters(spec.address).await {
+                    self.feed_orders(service, OrderEvent::Observed(spec.name, adapters));
+                }
+            }
+            OrderAction::Acquire => self.acquire_lease(service).await,
+            OrderAction::GiveBack(_) => self.give_lease_back(service).await,
+            OrderAction::Send { fence, order, until, upstream } => {
+                let outcome = self.send_order(fence, &order, until, &upstream).await;
+                log::info!("shard: {service}: {} {order:?}: {outcome:?}", upstream.name);
+                self.feed_orders(service, OrderEvent::Ended(upstream.name, outcome));
+            }
+        }
+    }
+
+    async fn acquire_lease(self: &Arc<Self>, service: &ServiceName) {
+        let asked = self.clock.now();
+        let key = lease_key(service, &self.settings.domain);
+        let granted = self.store.acquire(&key, &self.me.to_string(), LEASE_TIME).await;
+        let event = match granted {
+            Ok(Some(grant)) => {
+                if let Some(orders) = lock(&self.orders).get_mut(service) {
+                    orders.session = Some(grant.session);
+                }
+                OrderEvent::LeaseGranted { asked, clean: grant.clean, fence: grant.fence }
+            }
+            Ok(None) => OrderEvent::LeaseDenied,
+            Err(error) => {
+                log::warn!("store: {service}: no lease for orders: {error}");
+                OrderEvent::LeaseDenied
+            }
+        };
+        self.feed_orders(service, event);
+    }
+
+    async fn give_lease_back(&self, service: &ServiceName) {
+        let session = match lock(&self.orders).get_mut(service) {
+            Some(orders) => orders.session.take(),
+            None => None,
+        };
+        let key = lease_key(service, &self.settings.domain);
+        if let Some(session) = session
+            && let Err(error) = self.store.give_back(&key, &session).await
+        {
+            log::debug!("store: {service}: the lease lapses by itself: {error}");
+        }
+    }
+
+    async fn send_order(
+        &self,
+        fence: FencingNumber,
+        order: &EngineOrder,
+        until: Instant,
+        upstream: &UpstreamSpec,
+    ) -> OrderOutcome {
+        // This daemon may have been paused since the decision.
+        if self.clock.now() >= until {
+            counter!("apricotrun_late_orders_total").increment(1);
+            return OrderOutcome::Stale;
+        }
+        self.upstreams.order(upstream.address, order, fence).await
+    }
+}
--- a/src/transport/watcher.rs
+++ b/src/transport/watcher.rs
@@ -135,5 +135,6 @@
         gauge!("apricotrun_config_revision").set(config.revision.0 as f64);
         self.feed_members(MemberEvent::Revision(config.revision));
         self.configure_shards(config);
+        self.configure_orders(config);
     }
 }
--- a/standins/src/bin/capacity/times.rs
+++ b/standins/src/bin/capacity/times.rs
@@ -32,6 +32,7 @@
         let prefill = index.is_multiple_of(4);
         UpstreamSpec {
             address: "10.1.2.3:8000".parse().expect("an address"),
+            checks_fencing: false,
             domain: "region-1-a".parse().expect("a name"),
             leaving: false,
             name: format!("model-07-worker-{index}").parse().expect("a name"),
@@ -41,6 +42,7 @@
         }
     };
     ServiceTemplate {
+        adapters: None,
         between_token_target: Duration::from_millis(34),
         deadline: Duration::from_secs(600),
         eviction: Duration::from_millis(800),
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -70,6 +70,10 @@
     pub stall_prefill: bool,
     /// Transfers into this engine never end.
     pub stall_transfer: bool,
+    /// Orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// How long an order takes, in milliseconds.
+    pub slow_order_ms: u64,
     /// Cancels are not answered.
     pub deaf_to_cancel: bool,
 }
@@ -87,6 +91,12 @@
     pub evicted: u64,
     /// The starts of runs that came after their cancel.
     pub late_starts: u64,
+    /// The adapters that are loaded.
+    pub adapters: BTreeSet<String>,
+    /// The orders that were carried out, with their fencing numbers.
+    pub orders: Vec<(u64, String)>,
+    /// The orders that were refused for an old fencing number.
+    pub stale_orders: u64,
     /// All requests that ever started here.
     pub started: u64,
 }
@@ -99,6 +109,7 @@
 struct EngineState {
     cancelled: BTreeSet<String>,
     faults: EngineFaults,
+    fence: u64,
     kept: BTreeMap<String, (Instant, usize)>,
     report: EngineReport,
     running: BTreeMap<String, Running>,
@@ -127,9 +138,22 @@
             link: Arc::default(),
             state: Arc::default(),
         };
-        rocket
-            .manage(engine)
-            .mount("/", routes![abort, chat, complete, faults, fetch_kv, health, load, report])
+        rocket.manage(engine).mount(
+            "/",
+            routes![
+                abort,
+                chat,
+                complete,
+                faults,
+                fetch_kv,
+                health,
+                load,
+                load_adapter,
+                models,
+                report,
+                unload_adapter
+            ],
+        )
     })
 }
 
@@ -214,6 +238,51 @@
     "ok"
 }
 
+struct FencingHeader(u64);
+
+#[rocket::async_trait]
+impl<'r> request::FromRequest<'r> for FencingHeader {
+    type Error = Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> request::Outcome<Self, Infallible> {
+        let number = request.headers().get_one("X-Fencing-Number");
+        request::Outcome::Success(Self(number.and_then(|n| n.parse().ok()).unwrap_or(0)))
+    }
+}
+
+#[get("/v1/models")]
+fn models(engine: &State<Engine>) -> Json<Value> {
+    let state = engine.state();
+    let adapter = |name: &String| json!({ "id": name, "parent": "base" });
+    let mut models: Vec<_> = state.report.adapters.iter().map(adapter).collect();
+    models.push(json!({ "id": "base", "parent": null }));
+    Json(json!({ "object": "list", "data": models }))
+}
+
+#[post("/v1/load_lora_adapter", data = "<body>")]
+async fn load_adapter(
+    engine: &State<Engine>,
+    fence: FencingHeader,
+    body: Json<Value>,
+) -> Result<(), Status> {
+    let name = body["lora_name"].as_str().ok_or(Status::BadRequest)?;
+    engine.take_order(fence.0, "load", name).await?;
+    engine.state().report.adapters.insert(name.to_owned());
+    Ok(())
+}
+
+#[post("/v1/unload_lora_adapter", data = "<body>")]
+async fn unload_adapter(
+    engine: &State<Engine>,
+    fence: FencingHeader,
+    body: Json<Value>,
+) -> Result<(), Status> {
+    let name = body["lora_name"].as_str().ok_or(Status::BadRequest)?;
+    engine.take_order(fence.0, "unload", name).await?;
+    engine.state().report.adapters.remove(name);
+    Ok(())
+}
+
 #[get("/load")]
 fn load(engine: &State<Engine>) -> Json<Value> {
     Json(json!({ "server_load": engine.state().running.len() }))
@@ -265,6 +334,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Refuses an old order if this engine checks, and takes the time that orders take.
+    async fn take_order(&self, fence: u64, what: &str, name: &str) -> Result<(), Status> {
+        let time = {
+            let mut state = self.state();
+            if state.faults.checks_fencing && fence < state.fence {
+                state.report.stale_orders += 1;
+                return Err(Status::PreconditionFailed);
+            }
+            state.fence = state.fence.max(fence);
+            state.faults.slow_order_ms
+        };
+        tokio::time::sleep(Duration::from_millis(time)).await;
+        self.state().report.orders.push((fence, format!("{what} {name}")));
+        Ok(())
+    }
+
     fn evict(&self, state: &mut EngineState) {
         let eviction = self.config.eviction;
         let before = state.kept.len();
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -111,6 +111,7 @@
 fn template(mix: &TrafficMix) -> ServiceTemplate {
     let spec = |role, index: usize, port: u16, slots: usize, pieces| UpstreamSpec {
         address: SocketAddr::from(([127, 0, 0, 1], port + index as u16)),
+        checks_fencing: false,
         domain: domain(),
         leaving: false,
         name: format!("{port}-{index}").parse().expect("a valid name"),
@@ -123,6 +124,7 @@
     let decode = (0..mix.decode_workers)
         .map(|i| spec(UpstreamRole::Decode, i, DECODE_PORT, mix.slots, Some(Pieces(mix.pieces))));
     ServiceTemplate {
+        adapters: None,
         between_token_target: Duration::from_secs_f64(mix.between_target),
         deadline: Duration::from_secs_f64(mix.deadline),
         eviction: Duration::from_secs_f64(mix.eviction),
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// The largest value, in bytes.
@@ -48,9 +48,25 @@
     counts: StoreCounts,
     faults: StoreFaults,
     index: u64,
+    /// The leases by key.
+    leases: BTreeMap<String, Lease>,
+    /// When each session ends.
+    sessions: BTreeMap<String, Instant>,
     values: BTreeMap<String, (u64, Vec<u8>)>,
 }
 
+#[derive(Default)]
+struct Lease {
+    count: u64,
+    session: Option<String>,
+}
+
+impl StoreState {
+    fn is_live(&self, session: &str) -> bool {
+        self.sessions.get(session).is_some_and(|end| *end > Instant::now())
+    }
+}
+
 /// A store.
 #[derive(Clone)]
 pub struct Store {
@@ -109,6 +125,36 @@
         true
     }
 
+    /// Lets every lease lapse.
+    pub fn lapse_leases(&self) {
+        self.state().sessions.clear();
+    }
+
+    fn acquire(&self, key: &str, session: &str, value: Vec<u8>) -> bool {
+        let mut state = self.state();
+        let holder = state.leases.get(key).and_then(|lease| lease.session.clone());
+        let held = holder.is_some_and(|holder| holder != session && state.is_live(&holder));
+        if held || !state.is_live(session) {
+            return false;
+        }
+        let lease = state.leases.entry(key.to_owned()).or_default();
+        lease.count += 1;
+        lease.session = Some(session.to_owned());
+        drop(state);
+        self.write(key, Some(value), None)
+    }
+
+    fn release(&self, key: &str, session: &str, value: Vec<u8>) -> bool {
+        let mut state = self.state();
+        let Some(lease) = state.leases.get_mut(key) else { return false };
+        if lease.session.as_deref() != Some(session) {
+            return false;
+        }
+        lease.session = None;
+        drop(state);
+        self.write(key, Some(value), None)
+    }
+
     /// Counts a call and applies delay and outage.
     async fn enter(&self, write: bool) -> Result<(), Status> {
         let faults = {
@@ -138,7 +184,10 @@
 pub fn start(address: SocketAddr, store: &Store) -> StandinServer {
     let store = store.clone();
     StandinServer::start(address, |rocket, _kill| {
-        rocket.manage(store).mount("/", routes![counts, faults, read, remove, write])
+        rocket.manage(store).mount(
+            "/",
+            routes![counts, create_session, destroy_session, faults, read, remove, write],
+        )
     })
 }
 
@@ -185,7 +234,9 @@
     let (body, at) = match state.values.get(&key) {
         Some((at, value)) => {
             let value = BASE64_STANDARD.encode(value);
-            let pairs = json!([{ "Key": key, "Value": value, "ModifyIndex": at }]);
+            let locks = state.leases.get(&key).map_or(0, |lease| lease.count);
+            let pairs =
+                json!([{ "Key": key, "Value": value, "ModifyIndex": at, "LockIndex": locks }]);
             (pairs.to_string(), *at)
         }
         None => (String::new(), state.index),
@@ -200,11 +251,40 @@
     }
 }
 
-#[put("/v1/kv/<key..>?<cas>", data = "<data>")]
+#[derive(Deserialize)]
+struct SessionRequest {
+    #[serde(rename = "TTL")]
+    time: String,
+}
+
+#[put("/v1/session/create", data = "<request>")]
+async fn create_session(
+    store: &State<Store>,
+    request: Json<SessionRequest>,
+) -> Result<Json<serde_json::Value>, Status> {
+    store.enter(true).await?;
+    let seconds = request.time.trim_end_matches('s').parse().map_err(|_| Status::BadRequest)?;
+    let mut state = store.state();
+    state.index += 1;
+    let id = format!("session-{}", state.index);
+    state.sessions.insert(id.clone(), Instant::now() + Duration::from_secs(seconds));
+    Ok(Json(json!({ "ID": id })))
+}
+
+#[put("/v1/session/destroy/<id>")]
+async fn destroy_session(store: &State<Store>, id: &str) -> Result<&'static str, Status> {
+    store.enter(true).await?;
+    store.state().sessions.remove(id);
+    Ok("true")
+}
+
+#[put("/v1/kv/<key..>?<cas>&<acquire>&<release>", data = "<data>")]
 async fn write(
     store: &State<Store>,
     key: PathBuf,
     cas: Option<u64>,
+    acquire: Option<&str>,
+    release: Option<&str>,
     data: Data<'_>,
 ) -> Result<&'static str, Status> {
     store.enter(true).await?;
@@ -213,7 +293,12 @@
     if !body.is_complete() {
         return Err(Status::PayloadTooLarge);
     }
-    let written = store.write(&key.to_string_lossy(), Some(body.into_inner()), cas);
+    let (key, body) = (key.to_string_lossy(), body.into_inner());
+    let written = match (acquire, release) {
+        (Some(session), _) => store.acquire(&key, session, body),
+        (None, Some(session)) => store.release(&key, session, body),
+        (None, None) => store.write(&key, Some(body), cas),
+    };
     if store.loses_answer() {
         return Err(Status::InternalServerError);
     }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -121,6 +121,7 @@
     let address = fleet.daemons[entry].http;
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _end = support::SetOnDrop(&over);
         let callers: Vec<_> = (0..4)
             .map(|caller| {
                 let over = &over;
--- a/tests/config_keeper.rs
+++ b/tests/config_keeper.rs
@@ -4,8 +4,8 @@
 use apricotrun::coordination::config::{ConfigAction, ConfigEvent, ConfigKeeper};
 use apricotrun::coordination::messages::ConfigMessage;
 use apricotrun::coordination::store::{
-    DocumentEdit, EditOutcome, HEAD_KEY, KeyStore, StoreError, StoreVersion, StoredValue,
-    put_document, read_documents, read_head, refresh_snapshot,
+    DocumentEdit, EditOutcome, HEAD_KEY, KeyStore, LeaseGrant, StoreError, StoreVersion,
+    StoredValue, put_document, read_documents, read_head, refresh_snapshot,
 };
 use apricotrun::prelude::*;
 use apricotrun::state::fleet::{DocumentName, StoredDocument, key_digest};
@@ -171,7 +171,7 @@
         let found = self.values.lock().expect("a lock").get(key).cloned();
         let value = found.map(|(version, bytes)| {
             let version = StoreVersion(version);
-            StoredValue { bytes, index: version, version }
+            StoredValue { bytes, index: version, lock_index: 0, version }
         });
         async move { Ok(value) }.boxed()
     }
@@ -194,6 +194,23 @@
         async move { Ok(()) }.boxed()
     }
 
+    fn acquire<'a>(
+        &'a self,
+        _key: &'a str,
+        _holder: &'a str,
+        _time: Duration,
+    ) -> BoxFuture<'a, Result<Option<LeaseGrant>, StoreError>> {
+        async move { Ok(None) }.boxed()
+    }
+
+    fn give_back<'a>(
+        &'a self,
+        _key: &'a str,
+        _session: &'a str,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        async move { Ok(()) }.boxed()
+    }
+
     fn watch<'a>(
         &'a self,
         key: &'a str,
--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -168,6 +168,7 @@
     let doomed = fleet.daemons[cast.entry].http;
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _end = support::SetOnDrop(&over);
         let callers: Vec<_> = (0..4)
             .map(|caller| {
                 let (over, address) = (&over, spared[caller % spared.len()]);
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -113,6 +113,7 @@
 fn template() -> ServiceTemplate {
     let spec = |index: u16, role| UpstreamSpec {
         address: SocketAddr::from(([127, 0, 0, 1], index)),
+        checks_fencing: false,
         domain: domain(),
         leaving: false,
         name: format!("w{index}").parse().expect("a name"),
@@ -121,6 +122,7 @@
         slots: Slots(2),
     };
     ServiceTemplate {
+        adapters: None,
         between_token_target: Duration::from_millis(30),
         deadline: Duration::from_secs(20),
         eviction: Duration::from_millis(800),
--- a/tests/shard.rs
+++ b/tests/shard.rs
@@ -55,6 +55,7 @@
     fn configure(&mut self, change: impl FnOnce(&mut ServiceTemplate)) -> Vec<ShardAction> {
         let upstream = |name: &str, role, slots| UpstreamSpec {
             address: "127.0.0.1:1".parse().expect("an address"),
+            checks_fencing: false,
             domain: "tyrol-a".parse().expect("a name"),
             leaving: false,
             name: name.parse().expect("a name"),
@@ -63,6 +64,7 @@
             slots: Slots(slots),
         };
         let mut template = ServiceTemplate {
+            adapters: None,
             between_token_target: MILLI * 30,
             deadline: SECOND * 60,
             eviction: MILLI * 800,
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -18,6 +18,7 @@
     let name = "tyrol-a-decode-1";
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _end = support::SetOnDrop(&over);
         for caller in 0..4 {
             let (fleet, over) = (&fleet, &over);
             scope.spawn(move || {
@@ -78,6 +79,7 @@
     let addresses: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.http).collect();
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _end = support::SetOnDrop(&over);
         let callers: Vec<_> = (0..4)
             .map(|caller| {
                 let (over, addresses) = (&over, &addresses);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -228,3 +228,12 @@
         body: response.text().expect("a whole body"),
     }
 }
+
+/// Ends the threads of a test that fails, which would otherwise be waited for without end.
+pub struct SetOnDrop<'a>(pub &'a std::sync::atomic::AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, std::sync::atomic::Ordering::Relaxed);
+    }
+}
