Show settings errors, exit codes and documents through the programs

Cause: the command line and the settings had no test of their own. Change: tests/command_line.rs, with golden errors.

--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -52,11 +52,20 @@
 fn wrong_value_is_shown_with_what_is_allowed() {
     let (code, error) = check(&SETTINGS.replace("tyrol-a-1", "tyrol a 1"));
     assert_eq!(code, Some(2));
-    expect![[r#""#]].assert_eq(&error);
+    expect![[r#"
+        apricotrund: host.toml: TOML parse error at line 1, column 8
+          |
+        1 | host = "tyrol a 1"
+          |        ^^^^^^^^^^^
+        host "tyrol a 1" is invalid: 1 to 64 letters, digits, '-' or '_' are allowed
+
+    "#]].assert_eq(&error);
     let (_, error) = check(&SETTINGS.replace("127.0.0.1:8100", "localhost"));
     assert!(error.contains("http = \"localhost\""), "{error}");
     let (_, error) = check(&format!("{SETTINGS}body_limit_bytes = 5\n"));
-    expect![[r#""#]].assert_eq(&error);
+    expect![[r#"
+        apricotrund: host.toml: body_limit_bytes = 5: 1024 to 67108864 are allowed
+    "#]].assert_eq(&error);
     let (_, error) = check(&SETTINGS.replace("6b65", "zz"));
     assert!(error.contains("64 hexadecimal digits are allowed"), "{error}");
 }
@@ -111,7 +120,12 @@
     let history = json(&fleet, &["account", "history", "desk"]);
     assert_eq!(history.as_array().map(Vec::len), Some(2), "{history}");
     let diff = fleet.ctl(&["account", "diff", "desk", &before, &after]).expect("a difference");
-    expect![[r#""#]].assert_eq(&diff);
+    expect![[r#"
+        - share = 0.5
+        + share = 0.25
+        - share = 0.5
+        + share = 0.25
+    "#]].assert_eq(&diff);
     fleet.ctl(&["account", "remove", "field"]).expect("removed");
     let gone = fleet.ctl(&["account", "get", "field"]).expect("an answer");
     assert_eq!(gone.trim(), "");
