--- a/standins/src/bin/capacity/fleets.rs
+++ b/standins/src/bin/capacity/fleets.rs
@@ -3,7 +3,8 @@
 
 use crate::plot::{Series, draw};
 use crate::slope::fit;
-use standins::fleet::{Fleet, FleetOptions, own_binaries, process_cpu_seconds};
+use standins::fleet::{DESK_KEY, Fleet, FleetOptions, own_binaries, process_cpu_seconds};
+use standins::load::{LoadPlan, LoadTarget, run};
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -16,6 +17,8 @@
 const SETTLE: Duration = Duration::from_secs(4);
 /// How many changes of configuration are timed.
 const CHANGES: u64 = 5;
+/// The requests a second under load, over all daemons.
+const LOAD_RATE: f64 = 60.0;
 /// The failure domains.
 const DOMAINS: usize = 4;
 const SIZES: [usize; 4] = [4, 8, 16, 32];
@@ -26,6 +29,7 @@
     control_bytes: f64,
     core_percent: f64,
     daemons: usize,
+    loaded_bytes: f64,
     memory_mb: f64,
     reads: f64,
     writes: f64,
@@ -40,10 +44,11 @@
     let mut text = String::new();
     for point in &points {
         text += &format!(
-            "{:3} daemons  control_bytes_per_s {:6.0}  core_percent {:5.2}  memory_mb {:5.1}  \
+            "{:3} daemons  control_bytes_per_s {:6.0}  under_load {:6.0}  core_percent {:5.2}  memory_mb {:5.1}  \
              apply_ms {:6.0}  reads_a_change {:5.1}  writes_a_change {:4.1}\n",
             point.daemons,
             point.control_bytes,
+            point.loaded_bytes,
             point.core_percent,
             point.memory_mb,
             point.apply_ms,
@@ -56,6 +61,7 @@
     };
     for (name, value) in [
         ("control_bytes_per_s", (|point| point.control_bytes) as fn(&FleetPoint) -> f64),
+        ("under_load", |point| point.loaded_bytes),
         ("core_percent", |point| point.core_percent),
         ("memory_mb", |point| point.memory_mb),
     ] {
@@ -87,6 +93,7 @@
     let control_bytes = (control_bytes(&fleet)? - bytes) / window;
     let core_percent = 100.0 * (cpu_seconds(&fleet)? - cpu) / window;
     let memory_mb = memory_bytes(&fleet)? / daemons as f64 / 1e6;
+    let loaded_bytes = loaded_control_bytes(&fleet)?;
     let before = fleet.store.counts();
     let mut apply_ms = 0.0;
     for change in 0..CHANGES {
@@ -102,12 +109,34 @@
         control_bytes,
         core_percent,
         daemons,
+        loaded_bytes,
         memory_mb,
         reads: (after.reads - before.reads) as f64 / CHANGES as f64,
         writes: (after.writes - before.writes) as f64 / CHANGES as f64,
     })
 }
 
+/// Returns the control bytes a second that a daemon sends while all of them serve requests.
+fn loaded_control_bytes(fleet: &Fleet) -> io::Result<f64> {
+    let addresses = fleet.daemons.iter().map(|daemon| daemon.http).collect();
+    let target = LoadTarget::Daemons { addresses, key: DESK_KEY.to_owned() };
+    let plan = LoadPlan {
+        answer: 40,
+        between_target: Duration::from_millis(40),
+        duration: WINDOW,
+        first_target: Duration::from_secs(2),
+        prompt_bytes: 400,
+        rate: LOAD_RATE,
+        seed: 7,
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    let (before, started) = (control_bytes(fleet)?, Instant::now());
+    let report = runtime.block_on(run(&target, &plan));
+    println!("# {} daemons under load: {report}", fleet.daemons.len());
+    let window = started.elapsed().as_secs_f64() * fleet.daemons.len() as f64;
+    Ok((control_bytes(fleet)? - before) / window)
+}
+
 /// Returns the control bytes that all daemons have sent.
 fn control_bytes(fleet: &Fleet) -> io::Result<f64> {
     let client = reqwest::blocking::Client::builder().no_proxy().build();
