Ask again before a broken upstream counts as alive

A dying upstream can still take the health probe's connection and break it; that counted as alive, so the loss did not count against the request. Ruled out: counting every broken connection as a death (a cancelled run breaks its connection too). Change: an upstream that gives no clear answer is asked up to three times; a refused connection or silence is death, any answer is life. Figures: upstream_that_is_just_dying_is_dead failed before, passes after.

--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -18,6 +18,10 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an upstream may take to show that it lives.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often an upstream that gives no clear answer is asked.
+const HEALTH_TRIES: u32 = 3;
+/// How long after an unclear answer it is asked again.
+const HEALTH_PAUSE: Duration = Duration::from_millis(100);
 /// The longest plain answer, in bytes.
 const MAX_PLAIN_BYTES: usize = 16 * 1024 * 1024;
 
@@ -254,13 +258,20 @@
         }
     }
 
-    /// Finds out whether an upstream whose connection broke still lives.
+    /// Finds out whether an upstream whose connection broke still lives. A dying one may still take
+    /// a connection, so what gives no clear answer is asked again; silence counts as death.
     pub async fn diagnose(&self, address: SocketAddr) -> UpstreamLoss {
-        let request = self.fresh.get(format!("http://{address}/health")).timeout(HEALTH_TIMEOUT);
-        match request.send().await {
-            Err(error) if error.is_connect() && !error.is_timeout() => UpstreamLoss::Died,
-            _ => UpstreamLoss::Broken,
+        for _ in 0..HEALTH_TRIES {
+            let request = self.fresh.get(format!("http://{address}/health"));
+            match request.timeout(HEALTH_TIMEOUT).send().await {
+                Ok(_) => return UpstreamLoss::Broken,
+                Err(error) if error.is_connect() && !error.is_timeout() => {
+                    return UpstreamLoss::Died;
+                }
+                Err(_) => tokio::time::sleep(HEALTH_PAUSE).await,
+            }
         }
+        UpstreamLoss::Died
     }
 
     fn request(
