Suspect a request whose upstream died before its first token, whatever the time

Ruled out: a longer time (the same fault on a slower machine). Change: no token of the attempt yet makes a suspect, in place of a time.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -16,8 +16,6 @@
 const STALL_PART: f64 = 0.625;
 /// How many between-token targets may pass without a token before the run counts as stalled.
 const STALLED_TOKENS: u32 = 40;
-/// A run this short before its upstream died makes the request a suspect.
-const SHORT_RUN: Duration = Duration::from_secs(1);
 /// The weight of an upstream that died while it ran the request beside others.
 const SHARED_LOSS: u32 = 1;
 /// The weight of an upstream that died while the request was its only suspect.
@@ -62,8 +60,7 @@
             }
         }
         let progress_due = self.progress_due(now, running);
-        let step_began = now;
-        let active = ActiveAttempt { domain, grant, kept, progress_due, running, step_began };
+        let active = ActiveAttempt { domain, grant, heard: false, kept, progress_due, running };
         self.stage = FlowStage::Active(Box::new(active));
     }
 
@@ -116,7 +113,6 @@
         active.running = true;
         active.kept = Some(KeptPrompt { handle: handle.clone(), until });
         active.progress_due = due;
-        active.step_began = now;
         let domain = active.domain.clone();
         let grant = active.grant.clone();
         out.push(FlowAction::Advance(domain, attempt.clone(), ClaimPhase::Transfer));
@@ -148,6 +144,7 @@
         }
         active.progress_due = due;
         active.kept = None;
+        active.heard = true;
         if active.grant.claim.phase != ClaimPhase::Run {
             active.grant.claim.phase = ClaimPhase::Run;
             let domain = active.domain.clone();
@@ -192,7 +189,7 @@
         let transferring = outcome == ReleaseOutcome::RunnerLost && unfetched;
         self.kept = active.kept.clone().filter(|_| transferring);
         let keeps_prompt = self.kept_prompt(now).is_some();
-        let short = now < active.step_began + SHORT_RUN;
+        let unheard = !active.heard;
         let lost = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
             _ => claim.runner.clone(),
@@ -203,7 +200,7 @@
         if loss == UpstreamLoss::Died {
             let weight = if claim.suspect { SUSPECT_LOSS } else { SHARED_LOSS };
             self.crashes += weight;
-            self.suspect |= short || self.crashes >= SUSPECT_WEIGHT;
+            self.suspect |= unheard || self.crashes >= SUSPECT_WEIGHT;
             let report = CrashReport {
                 attempt: attempt.clone(),
                 fingerprint: self.spec.fingerprint,
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -36,10 +36,11 @@
 struct ActiveAttempt {
     domain: DomainName,
     grant: GrantMessage,
+    /// Whether a token of this attempt has come.
+    heard: bool,
     kept: Option<KeptPrompt>,
     progress_due: Instant,
     running: bool,
-    step_began: Instant,
 }
 
 #[derive(Debug)]
