Read the whole change once more: one least share, one lock, no unused method

Cause: the weight of an account without a share stood in the queue and in the admission; the summaries took the claims' lock twice; RequestFlow::starts was called by nobody. Change: these three; no behaviour changes, no test touched.

--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -154,11 +154,6 @@
         self.next_token
     }
 
-    /// Returns how often upstreams were asked to start.
-    pub fn starts(&self) -> u32 {
-        self.starts
-    }
-
     /// A grant that comes after the end is given back, so that no slot stays held for nobody.
     fn handle_late(&mut self, event: FlowEvent, out: &mut Vec<FlowAction>) {
         match event {
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -2,15 +2,13 @@
 
 use super::{ShardAction, ShardLedger};
 use crate::coordination::messages::{AskMessage, GrantMessage, ShardMessage};
-use crate::coordination::shard::queue::WaitingAsk;
+use crate::coordination::shard::queue::{MIN_SHARE, WaitingAsk};
 use crate::prelude::*;
 use crate::state::fleet::AccountGrant;
 use std::collections::BTreeSet;
 
 /// How many accounts are looked at when the neediest one's first ask finds no room.
 const MAX_HEADS: usize = 4;
-/// The weight of an account with no share.
-const MIN_SHARE: f64 = 0.000_001;
 /// The least time that an ask may wait, so that a request too long for its target still runs
 /// on an idle shard.
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -8,7 +8,7 @@
 /// Scales held slots over a share into an ordered integer.
 const USAGE_SCALE: f64 = 1_000_000.0;
 /// The weight of an account with no share; it runs only when nobody else wants to.
-const MIN_SHARE: f64 = 0.000_001;
+pub const MIN_SHARE: f64 = 0.000_001;
 
 /// An ask that waits for upstreams.
 #[derive(Clone, Debug)]
--- a/src/transport/claims.rs
+++ b/src/transport/claims.rs
@@ -68,11 +68,12 @@
         let domain = self.settings.domain.clone();
         let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
         let mut summaries: BTreeMap<_, _> = {
-            let claims = lock(&self.claims);
+            let mut claims = lock(&self.claims);
             let books = claims.books.iter();
-            books.map(|(shard, book)| (shard.clone(), book.summary())).collect()
+            let summaries = books.map(|(shard, book)| (shard.clone(), book.summary())).collect();
+            claims.books.retain(|_, book| !book.is_empty());
+            summaries
         };
-        lock(&self.claims).books.retain(|_, book| !book.is_empty());
         for service in services {
             let empty = || ClaimBook::default().summary();
             summaries.entry((service, domain.clone())).or_insert_with(empty);
