--- a/src/coordination/config.rs
+++ b/src/coordination/config.rs
@@ -78,6 +78,12 @@
         &self.current
     }
 
+    /// Takes a configuration over that another source has checked and keeps in order.
+    pub fn adopt(&mut self, now: Instant, config: Arc<FleetConfig>) {
+        self.current = config;
+        self.taken = Some(now);
+    }
+
     /// Returns when the configuration in force was taken.
     pub fn taken(&self) -> Option<Instant> {
         self.taken
--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -85,6 +85,7 @@
         if between.is_zero() {
             return self.spec.deadline;
         }
+        let between = self.spec.stall_limit.unwrap_or(between);
         let expected = match (running, self.transfers) {
             (false, _) => self.spec.prefill_time * 4 + between,
             (true, true) => (self.spec.link_time * 3).max(self.spec.eviction.mul_f64(STALL_PART)),
@@ -190,13 +191,20 @@
         self.kept = active.kept.clone().filter(|_| transferring);
         let keeps_prompt = self.kept_prompt(now).is_some();
         let unheard = !active.heard;
+        let untouched = matches!(loss, UpstreamLoss::NothingSent | UpstreamLoss::Full);
+        let ran = active.running && !untouched;
         let lost = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
             _ => claim.runner.clone(),
         };
-        let outcome = if loss == UpstreamLoss::Full { ReleaseOutcome::RunnerFull } else { outcome };
+        let outcome = match (loss, outcome) {
+            (UpstreamLoss::Full, _) => ReleaseOutcome::RunnerFull,
+            (UpstreamLoss::Failed, _) => ReleaseOutcome::Finished,
+            (_, outcome) => outcome,
+        };
         self.abort(outcome, keeps_prompt, out);
-        self.touched |= !matches!(loss, UpstreamLoss::NothingSent | UpstreamLoss::Full);
+        self.touched |= ran;
+        self.runs += u32::from(ran);
         if loss == UpstreamLoss::Died {
             let weight = if claim.suspect { SUSPECT_LOSS } else { SHARED_LOSS };
             self.crashes += weight;
@@ -210,11 +218,14 @@
             out.push(FlowAction::Report(report));
         }
         self.avoid.push(lost);
-        self.try_again(now, out);
+        let arrived = loss != UpstreamLoss::NothingSent;
+        self.try_again(now, arrived, out);
     }
 
-    pub(super) fn try_again(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
-        if self.touched && !self.spec.repeatable {
+    /// Asks for other upstreams; `arrived` says whether the lost one had the request.
+    fn try_again(&mut self, now: Instant, arrived: bool, out: &mut Vec<FlowAction>) {
+        let spent = self.runs > 0 && (!self.spec.repeatable || self.runs >= self.spec.run_limit);
+        if spent {
             return self.refuse(Refusal::not_run(RefusalReason::UpstreamFailed), out);
         }
         if self.crashes >= CRASH_LIMIT {
@@ -224,6 +235,10 @@
             let refusal = Refusal::not_run(RefusalReason::UpstreamFailed);
             return self.refuse(refusal.after(OWNER_WAIT), out);
         }
+        if arrived && !self.spec.retries.take(now) {
+            let refusal = Refusal::not_run(RefusalReason::RetriesSpent);
+            return self.refuse(refusal.after(OWNER_WAIT), out);
+        }
         self.ask(now, out);
     }
 
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -4,7 +4,9 @@
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use crate::prelude::*;
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Where an engine keeps a computed prompt, in the engine's own words.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,6 +29,8 @@
     pub eviction: Duration,
     /// The failure domains to ask, the daemon's own first.
     pub domains: Vec<DomainName>,
+    /// The first token that the caller lacks; it has the earlier ones from another request.
+    pub first_index: u32,
     /// A digest of the body.
     pub fingerprint: Fingerprint,
     /// When the first token is due.
@@ -41,10 +45,38 @@
     pub prefill_time: Duration,
     /// The prompt's length.
     pub prompt: Tokens,
+    /// Whether the answer is still owed after the caller has left.
+    pub owed: bool,
     /// Whether a second run does no harm.
     pub repeatable: bool,
+    /// What allows this daemon to use an upstream for a request that already used one.
+    pub retries: Arc<dyn RetryAllowance>,
     /// Whether the caller comes back at a booked time.
     pub returning: bool,
+    /// On how many upstreams the request may run.
+    pub run_limit: u32,
+    /// After what time without a token a run counts as stalled; a multiple of the target for the
+    /// time between tokens when absent.
+    pub stall_limit: Option<Duration>,
+    /// How many tokens one part of the answer carries.
+    pub tokens_per_index: u32,
+}
+
+/// Limits how many upstreams are used beyond the first of each request, so that retries do not
+/// multiply the load of a service in trouble.
+pub trait RetryAllowance: fmt::Debug + Send + Sync {
+    /// Takes one retry if the limit allows it now.
+    fn take(&self, now: Instant) -> bool;
+}
+
+/// Allows every retry.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UnlimitedRetries;
+
+impl RetryAllowance for UnlimitedRetries {
+    fn take(&self, _now: Instant) -> bool {
+        true
+    }
 }
 
 /// How an upstream failed an attempt.
@@ -58,6 +90,8 @@
     Broken,
     /// It has made no progress for too long.
     Stalled,
+    /// It answered that it has failed, and still lives.
+    Failed,
     /// It is gone.
     Died,
 }
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -7,7 +7,9 @@
 mod attempts;
 mod events;
 
-pub use events::{FlowAction, FlowEvent, KvHandle, RequestSpec, UpstreamLoss};
+pub use events::{
+    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryAllowance, UnlimitedRetries, UpstreamLoss,
+};
 
 use crate::coordination::messages::{AskMessage, GrantMessage, ReleaseOutcome, ShardMessage};
 use crate::prelude::*;
@@ -61,6 +63,8 @@
     next_token: u32,
     opened: bool,
     refusal: Option<Refusal>,
+    /// How many upstreams may have run it.
+    runs: u32,
     spec: RequestSpec,
     spills: usize,
     stage: FlowStage,
@@ -81,9 +85,10 @@
             crashes,
             domain: 0,
             kept: None,
-            next_token: 0,
+            next_token: spec.first_index,
             opened: false,
             refusal: None,
+            runs: 0,
             spec,
             spills: 0,
             stage: FlowStage::Asking { first: now, next: now, heard: false },
@@ -151,7 +156,7 @@
 
     /// Returns how many tokens the caller has been given.
     pub fn tokens(&self) -> u32 {
-        self.next_token
+        self.next_token - self.spec.first_index
     }
 
     /// A grant that comes after the end is given back, so that no slot stays held for nobody.
@@ -193,15 +198,16 @@
             0 => self.spec.first_token_due,
             _ => self.spec.deadline,
         };
+        let produced = self.next_token.saturating_mul(self.spec.tokens_per_index);
         let ask = AskMessage {
             account: self.spec.account.clone(),
-            answer: Tokens(self.spec.answer.0.saturating_sub(self.next_token)),
+            answer: Tokens(self.spec.answer.0.saturating_sub(produced)),
             attempt: self.current(),
             avoid: self.avoid.clone(),
             first_token_within: due.saturating_duration_since(now),
             prefilled: self.kept_prompt(now).is_some(),
             prefix: self.spec.prefix.clone(),
-            prompt: Tokens(self.spec.prompt.0 + self.next_token),
+            prompt: Tokens(self.spec.prompt.0.saturating_add(produced)),
             resuming: self.starts > 0,
             returning: self.spec.returning,
             suspect: self.suspect,
@@ -285,16 +291,22 @@
     }
 
     fn caller_gone(&mut self, out: &mut Vec<FlowAction>) {
-        if !self.spec.repeatable && matches!(self.stage, FlowStage::Active(_)) {
-            // The answer is still owed to whoever repeats the request with its ticket.
+        if self.spec.owed && matches!(self.stage, FlowStage::Active(_)) {
+            // Whoever repeats the request with its ticket gets the answer.
             return;
         }
-        self.touched |= matches!(self.stage, FlowStage::Active(_));
+        self.touched |= self.is_running();
         self.withdraw(out);
         self.abort(ReleaseOutcome::Stopped, false, out);
         self.stage = FlowStage::Ended;
     }
 
+    /// Returns whether an upstream has been told to produce the answer. A prefill alone produces
+    /// nothing that anybody could notice.
+    fn is_running(&self) -> bool {
+        matches!(&self.stage, FlowStage::Active(active) if active.running)
+    }
+
     fn withdraw(&self, out: &mut Vec<FlowAction>) {
         if matches!(self.stage, FlowStage::Asking { .. }) && self.attempt > 0 {
             let domain = self.spec.domains[self.domain].clone();
@@ -304,7 +316,7 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         if now >= self.spec.deadline {
-            self.touched |= matches!(self.stage, FlowStage::Active(_));
+            self.touched |= self.is_running();
             self.withdraw(out);
             self.abort(ReleaseOutcome::Stopped, false, out);
             return self.refuse(Refusal::not_run(RefusalReason::DeadlinePassed), out);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,8 @@
 pub mod messages;
 pub mod orders;
 pub mod ownership;
+pub mod registry;
+pub mod retries;
 pub mod shard;
 pub mod store;
 pub mod tickets;
--- /dev/null
+++ b/src/coordination/registry.rs
@@ -0,0 +1,182 @@
+//! Which upstreams there are, as they register themselves in the platform's store.
+//!
+//! A record that disappears is an upstream that is gone, except after an outage of the store: then
+//! records lapse although their upstreams live, and return within moments. See docs/PLATFORM.md,
+//! "Upstreams".
+
+use crate::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// How long after an outage of the store a record that lapsed may take to return. The platform
+/// names two seconds; the rest is left for requests on their way when it counts as gone.
+const RETURN_TIME: Duration = Duration::from_millis(1_500);
+/// For how long after the store's return a disappearance may still be the outage's doing.
+const OUTAGE_ECHO: Duration = Duration::from_secs(3);
+
+/// One upstream as it describes itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamRecord {
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// Distinguishes its lives under one name.
+    pub life: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// What it does.
+    pub role: UpstreamRole,
+    /// Its service.
+    pub service: ServiceName,
+    /// How many requests it runs at the same time.
+    pub slots: Slots,
+}
+
+/// What the registry hears.
+#[derive(Clone, Debug)]
+pub enum RegistryEvent {
+    /// A record was written.
+    Written(UpstreamName, UpstreamRecord),
+    /// A record is gone, or has become unreadable.
+    Removed(UpstreamName),
+    /// These are all records.
+    Listed(BTreeMap<UpstreamName, UpstreamRecord>),
+    /// The store did not answer.
+    StoreLost,
+    /// The store answers again.
+    StoreBack,
+    /// Time has passed.
+    Tick,
+}
+
+#[derive(Debug)]
+struct RegistryEntry {
+    lapsed: Option<Instant>,
+    record: UpstreamRecord,
+}
+
+/// What happened to an upstream, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RegistryChange {
+    /// It takes work.
+    Ready(UpstreamName),
+    /// It takes no new work.
+    Leaving(UpstreamName),
+    /// Its record lapsed while the store was away; it is used until it would have returned.
+    Lapsed(UpstreamName),
+    /// It is gone.
+    Gone(UpstreamName),
+}
+
+/// The upstreams as this daemon knows them.
+#[derive(Debug, Default)]
+pub struct UpstreamRegistry {
+    away: bool,
+    entries: BTreeMap<UpstreamName, RegistryEntry>,
+    returned: Option<Instant>,
+}
+
+impl UpstreamRegistry {
+    /// Takes one event and returns what changed for requests.
+    pub fn handle(&mut self, now: Instant, event: RegistryEvent) -> Vec<RegistryChange> {
+        let mut changes = Vec::new();
+        match event {
+            RegistryEvent::Written(name, record) => self.write(name, record, &mut changes),
+            RegistryEvent::Removed(name) => self.remove(now, &name, &mut changes),
+            RegistryEvent::Listed(records) => self.list(now, records, &mut changes),
+            RegistryEvent::StoreLost => self.away = true,
+            RegistryEvent::StoreBack => {
+                if self.away {
+                    self.returned = Some(now);
+                }
+                self.away = false;
+            }
+            RegistryEvent::Tick => {}
+        }
+        self.bury(now, &mut changes);
+        changes
+    }
+
+    /// Returns the upstreams of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a UpstreamName, &'a UpstreamRecord)> {
+        let records = self.entries.iter().map(|(name, entry)| (name, &entry.record));
+        records.filter(move |(_, record)| record.service == *service)
+    }
+
+    /// Returns whether an upstream may be sent a request now.
+    pub fn takes_work(&self, name: &UpstreamName) -> bool {
+        self.entries.get(name).is_some_and(|entry| !entry.record.leaving)
+    }
+
+    /// Returns the service of an upstream.
+    pub fn service_of(&self, name: &UpstreamName) -> Option<ServiceName> {
+        self.entries.get(name).map(|entry| entry.record.service.clone())
+    }
+
+    /// Returns how many upstreams are known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn write(
+        &mut self,
+        name: UpstreamName,
+        record: UpstreamRecord,
+        changes: &mut Vec<RegistryChange>,
+    ) {
+        let before = self.entries.get(&name).map(|entry| &entry.record);
+        if before != Some(&record) {
+            changes.push(match record.leaving {
+                true => RegistryChange::Leaving(name.clone()),
+                false => RegistryChange::Ready(name.clone()),
+            });
+        }
+        self.entries.insert(name, RegistryEntry { lapsed: None, record });
+    }
+
+    fn remove(&mut self, now: Instant, name: &UpstreamName, changes: &mut Vec<RegistryChange>) {
+        let echo = self.returned.is_some_and(|at| now < at + OUTAGE_ECHO);
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        // Who was leaving before the outage does not return.
+        if echo && !entry.record.leaving {
+            if entry.lapsed.is_none() {
+                entry.lapsed = Some(now);
+                changes.push(RegistryChange::Lapsed(name.clone()));
+            }
+            return;
+        }
+        self.entries.remove(name);
+        changes.push(RegistryChange::Gone(name.clone()));
+    }
+
+    fn list(
+        &mut self,
+        now: Instant,
+        records: BTreeMap<UpstreamName, UpstreamRecord>,
+        changes: &mut Vec<RegistryChange>,
+    ) {
+        let missing = self.entries.keys().filter(|name| !records.contains_key(*name));
+        let missing: Vec<_> = missing.cloned().collect();
+        missing.iter().for_each(|name| self.remove(now, name, changes));
+        records.into_iter().for_each(|(name, record)| self.write(name, record, changes));
+    }
+
+    fn bury(&mut self, now: Instant, changes: &mut Vec<RegistryChange>) {
+        self.entries.retain(|name, entry| {
+            let over = entry.lapsed.is_some_and(|at| now >= at + RETURN_TIME);
+            if over {
+                changes.push(RegistryChange::Gone(name.clone()));
+            }
+            !over
+        });
+    }
+}
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -122,7 +122,11 @@
         grants: BTreeMap<AccountName, AccountGrant>,
     ) {
         let domain = &self.domain;
-        self.pool.configure(template.upstreams.iter().filter(|spec| spec.domain == *domain));
+        let specs = template.upstreams.iter().filter(|spec| match template.placement {
+            PlacementScope::Domain => spec.domain == *domain,
+            PlacementScope::Entry => true,
+        });
+        self.pool.configure(domain, specs);
         self.template = Some(template);
         self.grants = grants;
         let accounts: Vec<_> = self.grants.keys().cloned().collect();
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -14,6 +14,9 @@
 const FULL_REST: Duration = Duration::from_millis(100);
 /// How long a backup remembers what its owner has to cancel.
 const ORPHAN_MEMORY: Duration = Duration::from_secs(60);
+/// The load, in thousandths, that an upstream of this failure domain may have before an idle one
+/// of another is chosen.
+const FOREIGN_LOAD: u64 = 400;
 /// How long after a failed cancel the next one is sent.
 const CANCEL_RETRY: Duration = Duration::from_millis(500);
 
@@ -76,17 +79,25 @@
 pub struct WorkerPool {
     claims: BTreeMap<AttemptId, HeldClaim>,
     held: BTreeMap<AccountName, u32>,
+    home: Option<DomainName>,
     workers: BTreeMap<UpstreamName, PoolWorker>,
 }
 
 impl WorkerPool {
     /// Takes over the upstreams of a configuration; claims stay with those that remain.
-    pub fn configure<'a>(&mut self, specs: impl Iterator<Item = &'a UpstreamSpec>) {
+    pub fn configure<'a>(
+        &mut self,
+        home: &DomainName,
+        specs: impl Iterator<Item = &'a UpstreamSpec>,
+    ) {
+        self.home = Some(home.clone());
         let mut old = std::mem::take(&mut self.workers);
         for spec in specs {
             let worker = match old.remove(&spec.name) {
-                Some(worker) => PoolWorker { spec: spec.clone(), ..worker },
-                None => PoolWorker::new(spec.clone()),
+                Some(worker) if worker.spec.life == spec.life => {
+                    PoolWorker { spec: spec.clone(), ..worker }
+                }
+                _ => PoolWorker::new(spec.clone()),
             };
             self.workers.insert(spec.name.clone(), worker);
         }
@@ -333,10 +344,18 @@
         // A suspect goes where the fewest others run; all else spreads transfers, then load.
         candidates.min_by_key(|worker| {
             let others = if ask.suspect { worker.slots } else { 0 };
-            (others, worker.transfers, worker.load())
+            (others, worker.transfers, worker.load() + self.distance(worker))
         })
     }
 
+    /// Returns by how much an upstream of another failure domain must be less loaded to be chosen.
+    fn distance(&self, worker: &PoolWorker) -> u64 {
+        match &self.home {
+            Some(home) if *home != worker.spec.domain => FOREIGN_LOAD,
+            _ => 0,
+        }
+    }
+
     fn choose_prefill(
         &self,
         now: Instant,
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -1,7 +1,9 @@
 //! The types that nearly every module uses.
 
 pub use crate::state::clock::{Clock, SystemClock};
-pub use crate::state::fleet::{FleetConfig, ServiceTemplate, UpstreamRole, UpstreamSpec};
+pub use crate::state::fleet::{
+    FleetConfig, PlacementScope, ServiceTemplate, UpstreamRole, UpstreamSpec,
+};
 pub use crate::state::ids::{
     AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, RequestId,
     Revision, ServiceName, UpstreamName,
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,6 +1,8 @@
 //! Templates, client accounts and the configuration made of them. See docs/CONFIGURATION.md.
 
-use crate::state::ids::{AccountName, DomainName, IdError, Revision, ServiceName, UpstreamName};
+use crate::state::ids::{
+    AccountName, DomainName, IdError, Incarnation, Revision, ServiceName, UpstreamName,
+};
 use crate::state::units::{Pieces, Slots, TokenRate, Tokens};
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
@@ -27,6 +29,17 @@
     Prefill,
 }
 
+/// Who places the requests of a service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementScope {
+    /// The owner of each failure domain's shard, which knows exactly what its upstreams hold.
+    #[default]
+    Domain,
+    /// Every entry alone, for services whose calls are too short to be worth a question.
+    Entry,
+}
+
 /// One upstream of a service.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +56,9 @@
     /// Whether it takes no new work, because it is leaving.
     #[serde(default)]
     pub leaving: bool,
+    /// Distinguishes its lives under one name; a new life holds nothing of an earlier one.
+    #[serde(default)]
+    pub life: Incarnation,
     /// Its name, unique within the service.
     pub name: UpstreamName,
     /// Its engine memory; unlimited when absent.
@@ -158,6 +174,9 @@
     /// The calls that may not be repeated.
     #[serde(default)]
     pub non_idempotent: Vec<CallPattern>,
+    /// Who places its requests.
+    #[serde(default)]
+    pub placement: PlacementScope,
     /// The tokens that one piece of engine memory holds.
     #[serde(default = "default_piece")]
     pub piece_tokens: Tokens,
@@ -369,6 +388,22 @@
         Ok(config)
     }
 
+    /// Returns a configuration of parts that another source has checked.
+    pub fn assemble(
+        revision: Revision,
+        accounts: impl IntoIterator<Item = AccountParameters>,
+        templates: impl IntoIterator<Item = ServiceTemplate>,
+    ) -> Self {
+        let accounts = accounts.into_iter().map(|a| (a.account.clone(), Arc::new(a)));
+        let templates = templates.into_iter().map(|t| (t.service.clone(), Arc::new(t)));
+        Self {
+            accounts: accounts.collect(),
+            revision,
+            templates: templates.collect(),
+            ..Self::default()
+        }
+    }
+
     fn add(&mut self, name: &DocumentName, text: &str) -> Result<(), DocumentError> {
         match parse_document(name, text)? {
             ParsedDocument::Account(account) => {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,5 +3,6 @@
 pub mod clock;
 pub mod fleet;
 pub mod ids;
+pub mod routes;
 pub mod units;
 pub mod verdict;
--- a/src/state/verdict.rs
+++ b/src/state/verdict.rs
@@ -74,6 +74,8 @@
     NoUpstream,
     /// Upstreams failed while running it and no time is left to try another.
     UpstreamFailed,
+    /// The request was turned away by an upstream, and this daemon may not try another now.
+    RetriesSpent,
     /// The request has ended upstreams that ran it.
     CrashesUpstream,
     /// The deadline has passed.
@@ -111,6 +113,7 @@
             Self::UpstreamFailed | Self::TicketHomeGone => 502,
             Self::NoUpstream
             | Self::NoOwner
+            | Self::RetriesSpent
             | Self::StoreDown
             | Self::Stopping
             | Self::NoConfiguration => 503,
@@ -136,6 +139,7 @@
             Self::TooLarge => "the request needs more engine memory than any upstream has",
             Self::NoUpstream => "no upstream of this service can take work",
             Self::UpstreamFailed => "upstreams failed while running the request",
+            Self::RetriesSpent => "too many requests have just been tried on a second upstream",
             Self::CrashesUpstream => "the request has ended the upstreams that ran it",
             Self::DeadlinePassed => "the deadline has passed",
             Self::NoOwner => "no shard owner answered in time",
--- /dev/null
+++ b/src/transport/build.rs
@@ -0,0 +1,82 @@
+//! Puts a daemon's shared tables together.
+
+use crate::coordination::config::ConfigKeeper;
+use crate::coordination::crashes::CrashLedger;
+use crate::coordination::membership::MemberTable;
+use crate::coordination::messages::{MemberRecord, MemberState};
+use crate::coordination::store::KeyStore;
+use crate::coordination::tickets::TicketTable;
+use crate::prelude::*;
+use crate::transport::claims::ClaimTable;
+use crate::transport::engine::UpstreamClient;
+use crate::transport::error::CliResult;
+use crate::transport::links::PeerLinks;
+use crate::transport::node::DaemonNode;
+use crate::transport::orders::OrderTable;
+use crate::transport::runs::AttemptCancel;
+use crate::transport::settings::DaemonSettings;
+use crate::transport::shards::ShardTable;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, Mutex};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, Semaphore};
+
+/// What a daemon's surroundings bring besides its settings.
+pub struct NodeParts {
+    /// Cancels attempts whose entry is gone.
+    pub cancels: Arc<dyn AttemptCancel>,
+    /// The platform's store.
+    pub store: Arc<dyn KeyStore>,
+    /// Calls upstreams.
+    pub upstreams: Arc<UpstreamClient>,
+}
+
+/// Builds a daemon that serves nobody yet.
+///
+/// # Errors
+///
+/// Returns an error when the peer address cannot be bound.
+pub async fn build_node(settings: DaemonSettings, parts: NodeParts) -> CliResult<DaemonNode> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let now = clock.now();
+    let started = clock.wall().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    let incarnation = Incarnation(started.unwrap_or_default().as_millis() as u64);
+    let me = DaemonId { host: settings.host.clone(), incarnation };
+    let record = MemberRecord {
+        daemon: me.clone(),
+        domain: settings.domain.clone(),
+        http: settings.http,
+        peer: settings.peer,
+        state: MemberState::Alive,
+        version: 0,
+    };
+    let members = MemberTable::new(now, record, settings.seeds.clone(), rand::random());
+    Ok(DaemonNode {
+        blocked: Mutex::new(BTreeSet::new()),
+        cancels: parts.cancels,
+        claims: Mutex::new(ClaimTable::default()),
+        clock,
+        config: Mutex::new(ConfigKeeper::default()),
+        crashes: Mutex::new(CrashLedger::default()),
+        flows: Mutex::new(BTreeMap::new()),
+        gossip: UdpSocket::bind(settings.peer).await?,
+        in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
+        leaving: AtomicBool::new(false),
+        links: PeerLinks::default(),
+        members: Mutex::new(members),
+        sequence: AtomicU64::new(0),
+        shard_wake: Notify::new(),
+        shards: Mutex::new(ShardTable::new()),
+        started: now,
+        stop_wanted: Notify::new(),
+        stopping: AtomicBool::new(false),
+        store: parts.store,
+        tickets: Mutex::new(TicketTable::new(me.clone())),
+        tickets_taken: Notify::new(),
+        upstreams: parts.upstreams,
+        orders: Mutex::new(OrderTable::new()),
+        me,
+        settings,
+    })
+}
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -1,30 +1,26 @@
 //! Starts a daemon, and stops it without cutting off a request.
 
-use crate::coordination::config::ConfigKeeper;
-use crate::coordination::crashes::CrashLedger;
-use crate::coordination::membership::{MemberEvent, MemberTable};
-use crate::coordination::messages::{MemberRecord, MemberState};
-use crate::coordination::tickets::TicketTable;
+use crate::coordination::membership::MemberEvent;
 use crate::prelude::*;
-use crate::transport::claims::{ClaimTable, send_summaries};
+use crate::transport::build::{NodeParts, build_node};
+use crate::transport::claims::send_summaries;
 use crate::transport::consul::ConsulStore;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::{CliError, CliResult};
 use crate::transport::http;
-use crate::transport::links::{PeerLinks, serve_links};
+use crate::transport::http::trace::SpanLogger;
+use crate::transport::links::serve_links;
 use crate::transport::node::{DaemonNode, lock};
-use crate::transport::orders::{OrderTable, tick_orders};
+use crate::transport::orders::tick_orders;
 use crate::transport::settings::DaemonSettings;
-use crate::transport::shards::{ShardTable, tick_shards};
+use crate::transport::shards::tick_shards;
 use crate::transport::{gossip, logs, watcher};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use rocket::config::{LogLevel, Shutdown};
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use tokio::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, Semaphore};
 
 /// How long new requests are still taken after readiness has gone, since the balancer lags.
 const BALANCER_LAG: Duration = Duration::from_secs(2);
@@ -40,6 +36,9 @@
 /// Returns an error when an address cannot be bound or the HTTP server fails.
 pub fn run(settings: DaemonSettings) -> CliResult<()> {
     logs::install(&settings);
+    if settings.log_spans {
+        fastrace::set_reporter(SpanLogger, fastrace::collector::Config::default());
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let result = runtime.block_on(serve(settings));
     runtime.shutdown_background();
@@ -52,7 +51,13 @@
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder).map_err(|e| CliError::Server(e.to_string()))?;
     let listener = TcpListener::bind(settings.peer).await?;
-    let node = Arc::new(build_node(settings).await?);
+    let upstreams = Arc::new(UpstreamClient::new()?);
+    let parts = NodeParts {
+        cancels: upstreams.clone(),
+        store: Arc::new(ConsulStore::new(settings.store)?),
+        upstreams,
+    };
+    let node = Arc::new(build_node(settings, parts).await?);
     log::info!("daemon: {} in {} serves {}", node.me, node.settings.domain, node.settings.http);
     tokio::spawn(serve_links(node.clone(), listener));
     tokio::spawn(gossip::serve_gossip(node.clone()));
@@ -96,49 +101,6 @@
     }
 }
 
-async fn build_node(settings: DaemonSettings) -> CliResult<DaemonNode> {
-    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let now = clock.now();
-    let started = clock.wall().duration_since(std::time::SystemTime::UNIX_EPOCH);
-    let incarnation = Incarnation(started.unwrap_or_default().as_millis() as u64);
-    let me = DaemonId { host: settings.host.clone(), incarnation };
-    let record = MemberRecord {
-        daemon: me.clone(),
-        domain: settings.domain.clone(),
-        http: settings.http,
-        peer: settings.peer,
-        state: MemberState::Alive,
-        version: 0,
-    };
-    let members = MemberTable::new(now, record, settings.seeds.clone(), rand::random());
-    Ok(DaemonNode {
-        blocked: Mutex::new(BTreeSet::new()),
-        claims: Mutex::new(ClaimTable::default()),
-        clock,
-        config: Mutex::new(ConfigKeeper::default()),
-        crashes: Mutex::new(CrashLedger::default()),
-        flows: Mutex::new(BTreeMap::new()),
-        gossip: UdpSocket::bind(settings.peer).await?,
-        in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
-        leaving: AtomicBool::new(false),
-        links: PeerLinks::default(),
-        members: Mutex::new(members),
-        sequence: AtomicU64::new(0),
-        shard_wake: Notify::new(),
-        shards: Mutex::new(ShardTable::new()),
-        started: now,
-        stop_wanted: Notify::new(),
-        stopping: AtomicBool::new(false),
-        store: Arc::new(ConsulStore::new(settings.store)?),
-        tickets: Mutex::new(TicketTable::new(me.clone())),
-        tickets_taken: Notify::new(),
-        upstreams: UpstreamClient::new()?,
-        orders: Mutex::new(OrderTable::new()),
-        me,
-        settings,
-    })
-}
-
 impl DaemonNode {
     async fn wait_for_stop(&self) {
         let terminate = signal(SignalKind::terminate());
--- /dev/null
+++ b/src/transport/gateway/directory.rs
@@ -0,0 +1,232 @@
+//! Follows the platform's store: which routes, upstreams and hosts there are.
+
+use crate::coordination::registry::{RegistryChange, RegistryEvent, UpstreamRecord};
+use crate::coordination::store::{StoreError, StoreVersion};
+use crate::prelude::*;
+use crate::protocol::codec::PeerKey;
+use crate::state::routes::RouteTable;
+use crate::transport::gateway::start::Gateway;
+use crate::transport::node::lock;
+use futures::future::BoxFuture;
+use metrics::{counter, gauge};
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How long one watch waits for news. A connection that went silent without a reset delays
+/// news by no more than this and the call's own limit.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// The least time between two watches: upstreams write several times a second, and every answer
+/// is a call that the platform counts.
+const WATCH_PACE: Duration = Duration::from_millis(600);
+/// The first pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// The longest pause after failed calls; routes must be in force within two seconds of a return.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Everything that the store says.
+#[derive(Clone, Debug, Default)]
+pub struct DirectorySnapshot {
+    /// Other hosts, and where their daemons hear each other.
+    pub hosts: BTreeMap<HostName, SocketAddr>,
+    /// The routes; nothing before the operator has written any.
+    pub routes: Option<RouteTable>,
+    /// Where a watch goes on.
+    pub seen: StoreVersion,
+    /// The upstreams.
+    pub upstreams: BTreeMap<UpstreamName, UpstreamRecord>,
+}
+
+/// One change in the store.
+#[derive(Clone, Debug)]
+pub enum DirectoryChange {
+    /// A host came.
+    Host(HostName, SocketAddr),
+    /// The routes changed.
+    Routes(RouteTable),
+    /// An upstream wrote its record, or the record is gone.
+    Upstream(UpstreamName, Option<UpstreamRecord>),
+}
+
+/// What a watch brought.
+#[derive(Clone, Debug)]
+pub enum DirectoryNews {
+    /// These changes, and where the next watch goes on.
+    Changes(Vec<DirectoryChange>, StoreVersion),
+    /// The store no longer knows what came after the last watch.
+    Forgotten,
+}
+
+/// Where routes, upstreams and hosts are kept.
+pub trait DirectorySource: Send + Sync {
+    /// Registers this host, and returns the key that all daemons of the deployment share.
+    fn enroll<'a>(
+        &'a self,
+        host: &'a HostName,
+        peer: SocketAddr,
+    ) -> BoxFuture<'a, Result<PeerKey, StoreError>>;
+
+    /// Waits for what came after `seen`, at most for `wait`.
+    fn follow(
+        &self,
+        seen: StoreVersion,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<DirectoryNews, StoreError>>;
+
+    /// Reads everything.
+    fn load(&self) -> BoxFuture<'_, Result<DirectorySnapshot, StoreError>>;
+}
+
+/// The pauses between failed calls, spread so that hosts do not return all at once.
+#[derive(Debug)]
+pub struct CallPause {
+    next: Duration,
+}
+
+impl Default for CallPause {
+    fn default() -> Self {
+        Self { next: FIRST_PAUSE }
+    }
+}
+
+impl CallPause {
+    /// Waits, longer after each failure.
+    pub async fn wait(&mut self) {
+        let spread = rand::rng().random_range(0.6..1.4);
+        tokio::time::sleep(self.next.mul_f64(spread)).await;
+        self.next = (self.next * 2).min(MAX_PAUSE);
+    }
+
+    /// Starts over after a success.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// Repeats a call until it succeeds.
+pub async fn insist<T, F>(what: &str, mut call: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let mut pause = CallPause::default();
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(error) => log::warn!("store: {what} failed: {error}"),
+        }
+        pause.wait().await;
+    }
+}
+
+/// Follows the store until the task is dropped.
+pub async fn follow_directory(gateway: Arc<Gateway>, mut seen: StoreVersion) {
+    let mut pause = CallPause::default();
+    let mut away = false;
+    loop {
+        let began = gateway.node.clock.now();
+        // A store that did not answer is asked for what is there already, which takes it no time.
+        let wait = if away { Duration::ZERO } else { WATCH_WAIT };
+        let news = gateway.source.follow(seen, wait).await;
+        let outcome = match news {
+            Ok(DirectoryNews::Changes(changes, next)) => {
+                seen = seen.max(next);
+                Ok(changes)
+            }
+            Ok(DirectoryNews::Forgotten) => {
+                log::info!("store: its history is gone, reading everything anew");
+                gateway.source.load().await.map(|snapshot| {
+                    seen = snapshot.seen;
+                    gateway.take_snapshot(snapshot);
+                    Vec::new()
+                })
+            }
+            Err(error) => Err(error),
+        };
+        match outcome {
+            Ok(changes) => {
+                if away {
+                    away = false;
+                    log::info!("store: it answers again");
+                    gateway.hear_registry([RegistryEvent::StoreBack]);
+                }
+                pause.reset();
+                gateway.take_changes(changes);
+                let passed = gateway.node.clock.now() - began;
+                tokio::time::sleep(WATCH_PACE.saturating_sub(passed)).await;
+            }
+            Err(error) => {
+                counter!("apricotrun_store_failures_total").increment(1);
+                if !away {
+                    away = true;
+                    log::warn!("store: lost; routes and upstreams stay as they are: {error}");
+                }
+                gateway.hear_registry([RegistryEvent::StoreLost]);
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Takes over everything that the store says.
+    pub fn take_snapshot(self: &Arc<Self>, snapshot: DirectorySnapshot) {
+        if let Some(routes) = snapshot.routes {
+            self.take_routes(routes);
+        }
+        self.hear_registry([RegistryEvent::Listed(snapshot.upstreams)]);
+        self.configure();
+    }
+
+    fn take_changes(self: &Arc<Self>, changes: Vec<DirectoryChange>) {
+        let mut changed = false;
+        let mut events = vec![RegistryEvent::Tick];
+        for change in changes {
+            match change {
+                // Membership learns of hosts by its own probes.
+                DirectoryChange::Host(..) => {}
+                DirectoryChange::Routes(routes) => changed |= self.take_routes(routes),
+                DirectoryChange::Upstream(name, Some(record)) => {
+                    events.push(RegistryEvent::Written(name, record));
+                }
+                DirectoryChange::Upstream(name, None) => events.push(RegistryEvent::Removed(name)),
+            }
+        }
+        if self.hear_registry(events) || changed {
+            self.configure();
+        }
+    }
+
+    fn take_routes(&self, routes: RouteTable) -> bool {
+        let (revision, count) = (routes.revision, routes.len());
+        let taken = lock(&self.routes).offer(routes);
+        if taken {
+            gauge!("apricotrun_config_revision").set(revision.0 as f64);
+            log::info!(revision = revision.0, routes = count; "config: in force");
+        }
+        taken
+    }
+
+    /// Passes events to the registry; returns whether requests are concerned.
+    fn hear_registry(&self, events: impl IntoIterator<Item = RegistryEvent>) -> bool {
+        let now = self.node.clock.now();
+        let mut registry = lock(&self.registry);
+        let changes = events.into_iter().flat_map(|event| registry.handle(now, event));
+        let changes: Vec<_> = changes.collect();
+        gauge!("apricotrun_upstreams_known").set(registry.len() as f64);
+        for change in &changes {
+            log_change(change);
+        }
+        !changes.is_empty()
+    }
+}
+
+fn log_change(change: &RegistryChange) {
+    let (upstream, what) = match change {
+        RegistryChange::Ready(name) => (name, "takes work"),
+        RegistryChange::Leaving(name) => (name, "is leaving"),
+        RegistryChange::Lapsed(name) => (name, "lapsed while the store was away"),
+        RegistryChange::Gone(name) => (name, "is gone"),
+    };
+    log::info!(upstream:% = upstream; "upstream: {what}");
+}
--- /dev/null
+++ b/src/transport/gateway/forward.rs
@@ -0,0 +1,261 @@
+//! One forwarded request at its upstreams.
+
+use crate::coordination::flow::{FlowEvent, KvHandle, UpstreamLoss};
+use crate::prelude::*;
+use crate::state::routes::RouteKind;
+use crate::transport::gateway::channels::{ChannelAnswer, ChannelPool, UpstreamChannel};
+use crate::transport::gateway::dialect::{
+    AnswerHead, AnswerKind, InboundHead, OutboundOrder, UpstreamStep,
+};
+use crate::transport::gateway::reply::drop_connection_headers;
+use crate::transport::gateway::start::Gateway;
+use crate::transport::gateway::stream::EventCutter;
+use crate::transport::node::lock;
+use crate::transport::runs::{AttemptSite, RunOrder, UpstreamWork};
+use bytes::{Bytes, BytesMut};
+use futures::future::BoxFuture;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// The longest answer that is kept whole before it is passed on, in bytes.
+const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
+/// The longest answer of a prefill worker, in bytes.
+const MAX_HANDLE_BYTES: usize = 64 * 1024;
+
+/// A caller's request, ready to be sent on.
+#[derive(Clone, Debug)]
+pub struct InboundRequest {
+    /// The body.
+    pub body: Bytes,
+    /// What the gateway needs of its headers.
+    pub head: InboundHead,
+    /// The headers that are passed on.
+    pub headers: HeaderMap,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+}
+
+/// An upstream's answer.
+#[derive(Clone, Debug)]
+pub struct UpstreamReply {
+    /// The whole body; empty for a stream, whose events are passed on as they come.
+    pub body: Bytes,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The status.
+    pub status: StatusCode,
+}
+
+/// What a forwarded request does at its upstreams.
+pub struct ForwardWork {
+    gateway: Arc<Gateway>,
+    kind: RouteKind,
+    reply: Mutex<Option<UpstreamReply>>,
+    request: InboundRequest,
+}
+
+impl ForwardWork {
+    /// Returns the work of a request.
+    pub fn new(gateway: Arc<Gateway>, kind: RouteKind, request: InboundRequest) -> Self {
+        Self { gateway, kind, reply: Mutex::new(None), request }
+    }
+
+    /// Returns the upstream's answer as far as it is known.
+    pub fn reply(&self) -> Option<UpstreamReply> {
+        lock(&self.reply).clone()
+    }
+
+    async fn send(
+        &self,
+        site: &AttemptSite,
+        step: UpstreamStep<'_>,
+    ) -> Result<(ChannelAnswer, AnswerHead), UpstreamLoss> {
+        let now = self.gateway.node.clock.now();
+        // It may have begun to leave while the request waited for its turn.
+        if !lock(&self.gateway.registry).takes_work(&site.upstream) {
+            return Err(UpstreamLoss::NothingSent);
+        }
+        let left = site.deadline.saturating_duration_since(now);
+        let dialect = &self.gateway.dialect;
+        let order = OutboundOrder { left, step, upstream: &site.upstream };
+        let mut headers = self.request.headers.clone();
+        dialect.prepare(&order, &mut headers);
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.clone();
+        *request.uri_mut() = self.request.target.clone();
+        *request.headers_mut() = headers;
+        let most = self.gateway.connection_limit(&site.upstream);
+        let key = (site.address, site.upstream.clone());
+        let answer = self.gateway.channels.send(&key, most, request).await?;
+        let (parts, body) = answer.response.into_parts();
+        let head = dialect.read_answer(&self.request.head.label, &parts);
+        let response = http::Response::from_parts(parts, body);
+        Ok((ChannelAnswer { channel: answer.channel, response }, head))
+    }
+
+    async fn prefill_at(&self, site: &AttemptSite) -> Result<KvHandle, UpstreamLoss> {
+        let (answer, head) = self.send(site, UpstreamStep::Prefill).await?;
+        let status = answer.response.status();
+        let address = answer.channel.address();
+        let body = self.read_whole(answer, &head, MAX_HANDLE_BYTES).await?.1;
+        if head.kind != AnswerKind::Answer {
+            return Err(loss_of(head.kind));
+        }
+        let handle = match status {
+            StatusCode::OK => self.gateway.dialect.read_handle(&body),
+            _ => None,
+        };
+        match handle {
+            Some(handle) => Ok(KvHandle(format!("{address}/{handle}"))),
+            None => Err(UpstreamLoss::Failed),
+        }
+    }
+
+    async fn run_at(
+        &self,
+        order: &RunOrder,
+        events: &UnboundedSender<FlowEvent>,
+    ) -> Result<FlowEvent, UpstreamLoss> {
+        let handle = order.handle.as_ref().map(|handle| handle.0.as_str());
+        let step = UpstreamStep::Run { after: order.from, handle };
+        let (answer, head) = self.send(&order.site, step).await?;
+        if head.kind != AnswerKind::Answer {
+            if head.kind != AnswerKind::Foreign {
+                self.read_whole(answer, &head, MAX_HANDLE_BYTES).await?;
+            }
+            return Err(loss_of(head.kind));
+        }
+        let status = answer.response.status();
+        if self.kind.is_stream() && status == StatusCode::OK {
+            return self.relay(order, answer, &head, events).await;
+        }
+        let (reply, body) = self.read_whole(answer, &head, MAX_WHOLE_BYTES).await?;
+        *lock(&self.reply) = Some(UpstreamReply { body, ..reply });
+        if status.is_server_error() && self.kind.is_repeatable() {
+            return Err(UpstreamLoss::Failed);
+        }
+        Ok(FlowEvent::CallAnswered(order.site.context.attempt.clone()))
+    }
+
+    /// Passes a stream's events on as they come.
+    async fn relay(
+        &self,
+        order: &RunOrder,
+        answer: ChannelAnswer,
+        head: &AnswerHead,
+        events: &UnboundedSender<FlowEvent>,
+    ) -> Result<FlowEvent, UpstreamLoss> {
+        let attempt = &order.site.context.attempt;
+        let marked = attempt.to_string();
+        let (reply, mut body, channel) = split(answer);
+        // A stream that goes on at another upstream keeps the headers of the first.
+        lock(&self.reply).get_or_insert(reply);
+        let mut cutter = EventCutter::default();
+        let mut last = order.from;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| UpstreamLoss::Broken)?;
+            let Ok(data) = frame.into_data() else { continue };
+            cutter.push(&data);
+            let broken = |fault| {
+                log::warn!(upstream:% = order.site.upstream; "entry: a stream broke: {fault}");
+                UpstreamLoss::Broken
+            };
+            while let Some(event) = cutter.next_event().map_err(broken)? {
+                last = event.id.unwrap_or(last + 1);
+                let Some(index) = last.checked_sub(1) else { return Err(UpstreamLoss::Broken) };
+                let (attempt, marked) = (attempt.clone(), marked.clone());
+                let token = FlowEvent::Token { attempt, index, marked, text: event.text };
+                if events.send(token).is_err() {
+                    return Err(UpstreamLoss::Broken);
+                }
+            }
+        }
+        if !cutter.is_empty() {
+            return Err(UpstreamLoss::Broken);
+        }
+        self.gateway.channels.give_back(channel, head.keeps_idle);
+        Ok(FlowEvent::RunEnded(attempt.clone(), last))
+    }
+
+    async fn read_whole(
+        &self,
+        answer: ChannelAnswer,
+        head: &AnswerHead,
+        most: usize,
+    ) -> Result<(UpstreamReply, Bytes), UpstreamLoss> {
+        let (reply, mut body, channel) = split(answer);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| UpstreamLoss::Broken)?;
+            let Ok(data) = frame.into_data() else { continue };
+            bytes.extend_from_slice(&data);
+            if bytes.len() > most {
+                log::warn!("entry: an answer of {} is over {most} bytes", channel.address());
+                return Err(UpstreamLoss::Broken);
+            }
+        }
+        self.gateway.channels.give_back(channel, head.keeps_idle);
+        Ok((reply, bytes.freeze()))
+    }
+}
+
+impl UpstreamWork for ForwardWork {
+    fn prefill<'a>(
+        &'a self,
+        site: &'a AttemptSite,
+    ) -> BoxFuture<'a, Result<KvHandle, UpstreamLoss>> {
+        Box::pin(self.prefill_at(site))
+    }
+
+    fn run<'a>(
+        &'a self,
+        order: &'a RunOrder,
+        events: &'a UnboundedSender<FlowEvent>,
+    ) -> BoxFuture<'a, Result<FlowEvent, UpstreamLoss>> {
+        Box::pin(self.run_at(order, events))
+    }
+
+    fn cancel<'a>(&'a self, _: &'a [SocketAddr], _: &'a AttemptId) -> BoxFuture<'a, bool> {
+        // The connection has been closed with the attempt.
+        Box::pin(async { true })
+    }
+}
+
+fn split(answer: ChannelAnswer) -> (UpstreamReply, Incoming, UpstreamChannel) {
+    let (parts, body) = answer.response.into_parts();
+    let mut headers = parts.headers;
+    drop_connection_headers(&mut headers);
+    (UpstreamReply { body: Bytes::new(), headers, status: parts.status }, body, answer.channel)
+}
+
+fn loss_of(kind: AnswerKind) -> UpstreamLoss {
+    match kind {
+        AnswerKind::Full | AnswerKind::Declined => UpstreamLoss::Full,
+        AnswerKind::Answer => UpstreamLoss::Failed,
+        AnswerKind::Foreign => UpstreamLoss::Broken,
+    }
+}
+
+impl std::fmt::Debug for ForwardWork {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "ForwardWork({})", self.request.head.label)
+    }
+}
+
+impl Gateway {
+    /// Returns how many connections this daemon may have to an upstream.
+    pub fn connection_limit(&self, upstream: &UpstreamName) -> usize {
+        let service = lock(&self.registry).service_of(upstream);
+        let routes = lock(&self.routes).current().cloned();
+        let service = routes.zip(service).and_then(|(routes, name)| {
+            routes.services.get(&name).map(|service| service.connection_limit)
+        });
+        ChannelPool::fair_limit(service.unwrap_or(1), self.host_count())
+    }
+}
--- /dev/null
+++ b/src/transport/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! Forwards any HTTP request to the upstreams of its route.
+//!
+//! The gateway speaks a deployment's own words by way of two traits: [`GatewayDialect`] reads and
+//! writes the headers, [`DirectorySource`] tells of routes, upstreams and hosts. Everything else,
+//! the decisions above all, is the same as for the product's own interface. See docs/PLATFORM.md.
+
+pub mod channels;
+pub mod dialect;
+pub mod directory;
+pub mod forward;
+pub mod frontend;
+pub mod reply;
+pub mod start;
+pub mod stream;
+
+pub use dialect::{
+    AnswerHead, AnswerKind, GatewayDialect, HeadFault, InboundHead, OutboundOrder, PromptShape,
+    UpstreamStep,
+};
+pub use directory::{DirectoryChange, DirectoryNews, DirectorySnapshot, DirectorySource};
+pub use start::{GatewaySettings, GatewaySetup, run_gateway};
--- /dev/null
+++ b/src/transport/gateway/reply.rs
@@ -0,0 +1,177 @@
+//! Answers to callers: what an upstream said, or a refusal.
+
+use crate::prelude::*;
+use crate::transport::requests::CallerPart;
+use bytes::Bytes;
+use http::header::{self, HeaderName};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use std::collections::BTreeSet;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use thiserror::Error;
+use tokio::sync::mpsc::Receiver;
+
+/// When to come back if nothing better is known.
+const DEFAULT_WAIT: Duration = Duration::from_millis(500);
+
+/// A stream that ended without its last event; the connection is cut so that it does not look
+/// whole.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the answer ended before its last event")]
+pub struct CutStream;
+
+/// Called once when a stream has ended, with whether it is whole.
+pub type EndHook = Box<dyn FnOnce(Result<(), Refusal>) + Send>;
+
+/// The body of an answer.
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// The events of a stream as they come.
+    Events {
+        /// The first event, which has already come.
+        first: Option<String>,
+        /// Called once when the stream has ended, with whether it is whole.
+        ended: Option<EndHook>,
+        /// The others.
+        parts: Receiver<CallerPart>,
+    },
+}
+
+impl ReplyBody {
+    /// Returns a body that is known whole.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = CutStream;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutStream>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Events { first, ended, parts } => {
+                if let Some(text) = first.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(text.into()))));
+                }
+                poll_events(ended, parts, context)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Events { .. } => SizeHint::default(),
+        }
+    }
+}
+
+fn poll_events(
+    ended: &mut Option<EndHook>,
+    parts: &mut Receiver<CallerPart>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, CutStream>>> {
+    loop {
+        let part = std::task::ready!(parts.poll_recv(context));
+        let outcome = match part {
+            Some(CallerPart::Text(text)) => {
+                return Poll::Ready(Some(Ok(Frame::data(text.into()))));
+            }
+            Some(CallerPart::Opened | CallerPart::Answer(_)) => continue,
+            Some(CallerPart::Finished) => Ok(()),
+            Some(CallerPart::Refused(refusal)) => Err(refusal),
+            None => Err(lost()),
+        };
+        if let Some(ended) = ended.take() {
+            ended(outcome);
+        }
+        return Poll::Ready(outcome.err().map(|_| Err(CutStream)));
+    }
+}
+
+/// Returns the refusal of a request whose driver ended without a word.
+pub fn lost() -> Refusal {
+    Refusal::not_run(RefusalReason::UpstreamFailed).with_verdict(Verdict::MayHaveRun)
+}
+
+/// Returns the status for a refusal. Only the statuses 404, 408, 413, 421, 429 and 503 say that a
+/// request has not run, and callers rely on it.
+pub fn status_of(refusal: &Refusal) -> StatusCode {
+    match (refusal.verdict, refusal.reason) {
+        (Verdict::NotRun, RefusalReason::Overloaded | RefusalReason::AccountLimit) => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Returns the answer for a refusal, with the time to come back if the request has not run.
+pub fn refuse(refusal: &Refusal) -> Response<ReplyBody> {
+    let mut response = plain(status_of(refusal), &refusal.reason.to_string());
+    if refusal.verdict == Verdict::NotRun {
+        let wait = refusal.retry_after.unwrap_or(DEFAULT_WAIT);
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns an answer of this daemon's own.
+pub fn plain(status: StatusCode, text: &str) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(format!("{text}\n")));
+    *response.status_mut() = status;
+    let media = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, media);
+    response
+}
+
+/// Removes the headers that concern only one connection, those named by `Connection` among them.
+pub fn drop_connection_headers(headers: &mut HeaderMap) {
+    let named: BTreeSet<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        if let Ok(name) = HeaderName::try_from(name) {
+            headers.remove(name);
+        }
+    }
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/src/transport/gateway/start.rs
@@ -0,0 +1,426 @@
+//! Starts a gateway, configures its shards, and stops it without cutting off a request.
+
+use crate::coordination::membership::MemberEvent;
+use crate::coordination::registry::UpstreamRegistry;
+use crate::coordination::retries::{RetryBudget, RetryLimits};
+use crate::coordination::store::KeyStore;
+use crate::prelude::*;
+use crate::protocol::codec::PeerKey;
+use crate::state::fleet::{AccountGrant, AccountParameters};
+use crate::state::routes::{CallerLimits, EngineSpec, RouteKeeper, RoutedService};
+use crate::transport::build::{NodeParts, build_node};
+use crate::transport::claims::send_summaries;
+use crate::transport::engine::UpstreamClient;
+use crate::transport::error::CliResult;
+use crate::transport::gateway::channels::ChannelPool;
+use crate::transport::gateway::dialect::GatewayDialect;
+use crate::transport::gateway::directory::{DirectorySource, follow_directory, insist};
+use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
+use crate::transport::gossip;
+use crate::transport::links::serve_links;
+use crate::transport::node::{DaemonNode, lock};
+use crate::transport::runs::ConnectionCancel;
+use crate::transport::settings::{DaemonSettings, LogFormat, LogLevel};
+use crate::transport::shards::tick_shards;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// How long new connections are still taken after readiness has gone, since the balancer lags.
+const BALANCER_LAG: Duration = Duration::from_millis(2_400);
+/// How often a stop looks whether the last request has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// How long before the platform kills the process it ends by itself.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// How often idle connections are looked over.
+const PRUNE_PERIOD: Duration = Duration::from_secs(1);
+/// The speed that a prefill worker is expected to have, from the engines' data sheets.
+const PREFILL_RATE: TokenRate = TokenRate(50_000.0);
+/// The time that one token of an answer is expected to take, from the engines' data sheets.
+const TOKEN_TIME: Duration = Duration::from_micros(700);
+/// The tokens in one block of engine memory.
+const BLOCK: Tokens = Tokens(16);
+/// The account for which all callers of a deployment without accounts are counted.
+const SOLE_ACCOUNT: &str = "callers";
+/// How many requests may wait in one shard.
+const MAX_WAITING: u32 = 1000;
+
+/// The settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The failure domain that this host stands in.
+    pub domain: DomainName,
+    /// Where callers are served.
+    pub frontend: SocketAddr,
+    /// How long after a request to stop the platform kills the process.
+    pub grace: Duration,
+    /// This host's name.
+    pub host: HostName,
+    /// Where other daemons are heard, by UDP and TCP.
+    pub peer: SocketAddr,
+    /// Where the balancer asks whether to send callers here.
+    pub readiness: SocketAddr,
+    /// The fleet's retry budget for each service.
+    pub retries: RetryLimits,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+}
+
+/// A gateway's settings and its ways to the deployment around it.
+pub struct GatewaySetup {
+    /// Reads and writes headers.
+    pub dialect: Arc<dyn GatewayDialect>,
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// Tells of routes, upstreams and hosts.
+    pub source: Arc<dyn DirectorySource>,
+    /// The platform's store.
+    pub store: Arc<dyn KeyStore>,
+}
+
+/// What all requests of a gateway share.
+///
+/// Lock order: `routes`, `registry`, `retries`; none is held while a lock of [`DaemonNode`] is
+/// taken, or across an await.
+pub struct Gateway {
+    /// The account for which callers are counted.
+    pub account: AccountName,
+    /// Connections to upstreams.
+    pub channels: ChannelPool,
+    /// Reads and writes headers.
+    pub dialect: Arc<dyn GatewayDialect>,
+    /// The daemon's shared tables.
+    pub node: Arc<DaemonNode>,
+    /// The upstreams.
+    pub registry: Mutex<UpstreamRegistry>,
+    /// What is left of the retry budgets.
+    pub retries: Mutex<BTreeMap<ServiceName, Arc<RetryBudget>>>,
+    /// The routes.
+    pub routes: Mutex<RouteKeeper>,
+    /// Tells of routes, upstreams and hosts.
+    pub source: Arc<dyn DirectorySource>,
+    retry_limits: RetryLimits,
+    turns: AtomicU64,
+}
+
+/// The place of a gateway that may not have started yet, with what outlives no connection.
+pub struct GatewaySlot {
+    /// The open connections of callers.
+    pub connections: AtomicUsize,
+    /// The requests whose answers are not complete.
+    pub in_flight: AtomicUsize,
+    /// Becomes true when the daemon stops.
+    pub stopping: watch::Sender<bool>,
+    gateway: OnceLock<Arc<Gateway>>,
+    ready: AtomicBool,
+}
+
+impl GatewaySlot {
+    fn new() -> Self {
+        Self {
+            connections: AtomicUsize::new(0),
+            gateway: OnceLock::new(),
+            in_flight: AtomicUsize::new(0),
+            ready: AtomicBool::new(false),
+            stopping: watch::Sender::new(false),
+        }
+    }
+
+    /// Returns the gateway once it has started.
+    pub fn gateway(&self) -> Option<Arc<Gateway>> {
+        self.gateway.get().cloned()
+    }
+
+    /// Counts a request in.
+    pub fn enter(self: &Arc<Self>) -> InFlightGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard(self.clone())
+    }
+
+    /// Returns what callers may send now.
+    pub fn limits(&self) -> CallerLimits {
+        let gateway = self.gateway.get();
+        let routes = gateway.and_then(|gateway| lock(&gateway.routes).current().cloned());
+        routes.map(|routes| routes.limits).unwrap_or_default()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed) && !*self.stopping.borrow()
+    }
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub async fn run_gateway(setup: GatewaySetup) -> CliResult<()> {
+    let settings = setup.settings.clone();
+    let slot = Arc::new(GatewaySlot::new());
+    let callers = TcpListener::bind(settings.frontend).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    let peers = TcpListener::bind(settings.peer).await?;
+    log::info!(
+        host:% = settings.host, domain:% = settings.domain, frontend:% = settings.frontend,
+        version = env!("CARGO_PKG_VERSION");
+        "daemon: started"
+    );
+    let serving = tokio::spawn(serve_callers(slot.clone(), callers));
+    tokio::spawn(serve_readiness(slot.clone(), readiness));
+    let starting = tokio::spawn(start(setup, slot.clone(), peers));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => log::info!("daemon: the settings are read at the next start"),
+        }
+    }
+    starting.abort();
+    drain(&slot, &settings).await;
+    serving.abort();
+    finish(&slot, &settings).await;
+    log::info!(left = slot.in_flight.load(Ordering::Relaxed); "daemon: stopped");
+    Ok(())
+}
+
+/// Gives up readiness and duties, and takes what the balancer still sends.
+async fn drain(slot: &Arc<GatewaySlot>, settings: &GatewaySettings) {
+    log::info!(host:% = settings.host; "daemon: stops after its requests in flight");
+    slot.stopping.send_replace(true);
+    if let Some(gateway) = slot.gateway() {
+        let node = &gateway.node;
+        node.leaving.store(true, Ordering::Relaxed);
+        node.feed_members(MemberEvent::Leave);
+        node.update_roles();
+    }
+    tokio::time::sleep(BALANCER_LAG).await;
+}
+
+/// Waits for the last answer, as long as the platform allows.
+async fn finish(slot: &Arc<GatewaySlot>, settings: &GatewaySettings) {
+    let left = settings.grace.saturating_sub(BALANCER_LAG + KILL_MARGIN);
+    let waited = tokio::time::timeout(left, async {
+        let busy = || {
+            slot.in_flight.load(Ordering::Relaxed) > 0
+                || slot.connections.load(Ordering::Relaxed) > 0
+        };
+        while busy() {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+    });
+    if waited.await.is_err() {
+        log::warn!("daemon: the time to stop has passed with requests in flight");
+    }
+}
+
+async fn start(setup: GatewaySetup, slot: Arc<GatewaySlot>, peers: TcpListener) -> CliResult<()> {
+    let GatewaySetup { dialect, settings, source, store } = setup;
+    let key = insist("registering this host", || source.enroll(&settings.host, settings.peer));
+    let key = key.await;
+    let snapshot = insist("reading the configuration", || source.load()).await;
+    let seeds = snapshot.hosts.values().copied().collect();
+    let parts = NodeParts {
+        cancels: Arc::new(ConnectionCancel),
+        store,
+        upstreams: Arc::new(UpstreamClient::new()?),
+    };
+    let node = Arc::new(build_node(node_settings(&settings, key, seeds), parts).await?);
+    tokio::spawn(serve_links(node.clone(), peers));
+    tokio::spawn(gossip::serve_gossip(node.clone()));
+    tokio::spawn(gossip::tick_members(node.clone()));
+    tokio::spawn(tick_shards(node.clone()));
+    tokio::spawn(send_summaries(node.clone()));
+    let gateway = Arc::new(Gateway {
+        account: SOLE_ACCOUNT.parse()?,
+        channels: ChannelPool::new(node.clock.clone()),
+        dialect,
+        node,
+        registry: Mutex::new(UpstreamRegistry::default()),
+        retries: Mutex::new(BTreeMap::new()),
+        retry_limits: settings.retries,
+        routes: Mutex::new(RouteKeeper::default()),
+        source,
+        turns: AtomicU64::new(0),
+    });
+    let seen = snapshot.seen;
+    gateway.take_snapshot(snapshot);
+    if slot.gateway.set(gateway.clone()).is_err() {
+        log::error!("daemon: the gateway was started twice");
+    }
+    tokio::spawn(follow_directory(gateway.clone(), seen));
+    look_after(gateway, slot).await;
+    Ok(())
+}
+
+/// Keeps readiness up to date and connections in order, until the task is dropped.
+async fn look_after(gateway: Arc<Gateway>, slot: Arc<GatewaySlot>) {
+    loop {
+        let now = gateway.node.clock.now();
+        let joined = lock(&gateway.node.members).is_joined(now);
+        let routed = lock(&gateway.routes).current().is_some();
+        let ready = joined && routed && !lock(&gateway.registry).is_empty();
+        if slot.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!(ready; "daemon: readiness");
+        }
+        gateway.channels.prune(|name| lock(&gateway.registry).takes_work(name));
+        let hosts = gateway.host_count();
+        lock(&gateway.retries).values().for_each(|budget| budget.set_hosts(hosts));
+        let pause = if ready { PRUNE_PERIOD } else { PRUNE_PERIOD / 10 };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+impl Gateway {
+    /// Returns how many daemons run, as far as this one knows.
+    pub fn host_count(&self) -> usize {
+        lock(&self.node.members).running().count()
+    }
+
+    /// Returns this daemon's part of a service's retry budget.
+    pub fn retry_budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
+        let hosts = self.host_count();
+        let mut retries = lock(&self.retries);
+        let budget = retries
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(RetryBudget::new(self.retry_limits, hosts)));
+        budget.clone()
+    }
+
+    /// Returns the failure domains to ask for upstreams of a service, the own one first.
+    pub fn domains_of(&self, template: &ServiceTemplate) -> Vec<DomainName> {
+        match template.placement {
+            PlacementScope::Entry => vec![self.node.settings.domain.clone()],
+            PlacementScope::Domain => {
+                let served: BTreeSet<_> =
+                    template.upstreams.iter().map(|upstream| &upstream.domain).collect();
+                let domains = lock(&self.node.members).domains();
+                domains.into_iter().filter(|domain| served.contains(domain)).collect()
+            }
+        }
+    }
+
+    /// Gives the shards what routes and registry say now.
+    pub fn configure(self: &Arc<Self>) {
+        let Some(routes) = lock(&self.routes).current().cloned() else { return };
+        let templates: Vec<_> = {
+            let registry = lock(&self.registry);
+            let services = routes.services.iter();
+            services.map(|(name, service)| build_template(name, service, &registry)).collect()
+        };
+        let grant = AccountGrant { ceiling: 1.0, max_waiting: MAX_WAITING, share: 1.0 };
+        let account = AccountParameters {
+            account: self.account.clone(),
+            key_digest: String::new(),
+            services: routes.services.keys().map(|name| (name.clone(), grant)).collect(),
+        };
+        let turn = Revision(self.turns.fetch_add(1, Ordering::Relaxed) + 1);
+        let config = Arc::new(FleetConfig::assemble(turn, [account], templates));
+        lock(&self.node.config).adopt(self.node.clock.now(), config.clone());
+        self.node.configure_shards(&config);
+    }
+}
+
+fn build_template(
+    name: &ServiceName,
+    service: &RoutedService,
+    registry: &UpstreamRegistry,
+) -> ServiceTemplate {
+    let engine = service.engine.as_ref();
+    let upstreams = registry.of_service(name).map(|(id, record)| UpstreamSpec {
+        address: record.address,
+        checks_fencing: false,
+        domain: record.domain.clone(),
+        leaving: record.leaving,
+        life: record.life,
+        name: id.clone(),
+        pieces: engine.map(|engine| Pieces(engine.memory.0 / BLOCK.0)),
+        role: record.role,
+        slots: record.slots,
+    });
+    let rate = |pick: fn(&EngineSpec) -> TokenRate| engine.map(pick).unwrap_or_default();
+    ServiceTemplate {
+        adapters: None,
+        between_token_target: if engine.is_some() { TOKEN_TIME } else { Duration::ZERO },
+        deadline: Duration::MAX,
+        eviction: engine.map_or(Duration::ZERO, |engine| engine.eviction),
+        first_token_target: Duration::MAX,
+        link_tokens_per_second: rate(|engine| engine.link),
+        models: BTreeSet::new(),
+        non_idempotent: Vec::new(),
+        piece_tokens: BLOCK,
+        placement: if engine.is_some() { PlacementScope::Domain } else { PlacementScope::Entry },
+        prefill_tokens_per_second: rate(|_| PREFILL_RATE),
+        retry_window: Duration::ZERO,
+        service: name.clone(),
+        upstreams: upstreams.collect(),
+    }
+}
+
+/// Returns the settings of the parts that the gateway shares with the product's own interface.
+fn node_settings(
+    settings: &GatewaySettings,
+    peer_key: PeerKey,
+    seeds: Vec<SocketAddr>,
+) -> DaemonSettings {
+    DaemonSettings {
+        body_limit_bytes: CallerLimits::default().body_bytes,
+        domain: settings.domain.clone(),
+        drain_limit: settings.grace,
+        fault_switches: false,
+        host: settings.host.clone(),
+        http: settings.frontend,
+        in_flight_limit: 4096,
+        log_format: LogFormat::Json,
+        log_level: LogLevel::Info,
+        log_spans: false,
+        operator_key: String::new(),
+        peer: settings.peer,
+        peer_key,
+        seeds,
+        store: settings.store,
+    }
+}
+
+async fn serve_readiness(slot: Arc<GatewaySlot>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("daemon: accepting a readiness check failed: {error}");
+                tokio::time::sleep(DRAIN_CHECK).await;
+                continue;
+            }
+        };
+        let slot = slot.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let status = match slot.is_ready() {
+                    true => StatusCode::OK,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                let mut response = Response::new(Full::new(Bytes::new()));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            if let Err(error) = served {
+                log::debug!("daemon: a readiness check ended: {error}");
+            }
+        });
+    }
+}
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -1,12 +1,13 @@
 //! OpenAI-style completions and chat completions, streamed and whole.
 
-use crate::coordination::flow::RequestSpec;
+use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::prelude::*;
 use crate::transport::http::head::{AdmittedCaller, RequestHead, admit, read_body};
 use crate::transport::http::reply::{CallerReply, ProblemReply, problem_body};
+use crate::transport::http::trace::SpanTrace;
 use crate::transport::node::{DaemonNode, lock};
 use crate::transport::requests::{CallerPart, start_request};
-use crate::transport::runs::UpstreamWork;
+use crate::transport::runs::CompletionWork;
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use rocket::data::Data;
@@ -171,8 +172,10 @@
         shape,
     };
     let streamed = body["stream"].as_bool().unwrap_or(false);
-    let work = UpstreamWork::Tokens { body, path: shape.path().to_owned() };
-    let mut parts = start_request(node, template.service.clone(), spec, work, head.trace);
+    let trace = Box::new(SpanTrace::new(head.trace));
+    let client = node.upstreams.clone();
+    let work = Arc::new(CompletionWork { body, client, path: shape.path().to_owned() });
+    let mut parts = start_request(node, template.service.clone(), spec, work, trace);
     match parts.recv().await {
         Some(CallerPart::Refused(refusal)) => Err(refusal),
         None => {
@@ -219,6 +222,7 @@
         crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
+        first_index: 0,
         eviction: template.eviction,
         fingerprint,
         first_token_due: now + template.first_token_target,
@@ -227,8 +231,13 @@
         prefill_time: template.prefill_tokens_per_second.time_for(length),
         prefix: prefix_digests(prompt, template.piece_tokens),
         prompt: length,
+        owed: false,
         repeatable: true,
+        retries: Arc::new(UnlimitedRetries),
         returning,
+        run_limit: u32::MAX,
+        stall_limit: None,
+        tokens_per_index: 1,
     }
 }
 
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -1,16 +1,16 @@
 //! Plain services behind the router, and tickets for calls that may not be repeated.
 
-use crate::coordination::flow::RequestSpec;
+use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
 use crate::coordination::tickets::{StoredAnswer, TicketDecision, TicketId, TicketResult};
 use crate::prelude::*;
 use crate::transport::engine::PlainCall;
 use crate::transport::http::head::{AdmittedCaller, RequestHead, admit, read_body};
 use crate::transport::http::reply::{CallerReply, PlainReply, ProblemReply};
+use crate::transport::http::trace::SpanTrace;
 use crate::transport::node::{DaemonNode, lock};
 use crate::transport::requests::{CallerPart, start_request};
-use crate::transport::runs::UpstreamWork;
-use fastrace::collector::SpanContext;
+use crate::transport::runs::PlainWork;
 use rocket::data::Data;
 use rocket::http::Method;
 use rocket::route::{Handler, Outcome, Route};
@@ -195,8 +195,8 @@
     repeatable: bool,
 ) -> Result<StoredAnswer, Refusal> {
     let spec = build_spec(node, plain, repeatable);
-    let work = UpstreamWork::Plain(plain.call.clone());
-    let trace: SpanContext = plain.head.trace;
+    let work = Arc::new(PlainWork::new(node.upstreams.clone(), plain.call.clone()));
+    let trace = Box::new(SpanTrace::new(plain.head.trace));
     let mut parts = start_request(node, plain.template.service.clone(), spec, work, trace);
     while let Some(part) = parts.recv().await {
         match part {
@@ -220,6 +220,7 @@
         crashes: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
         domains: node.domains_of(template),
+        first_index: 0,
         eviction: Duration::ZERO,
         fingerprint,
         first_token_due: now + template.first_token_target,
@@ -228,8 +229,13 @@
         prefill_time: Duration::ZERO,
         prefix: Vec::new(),
         prompt: Tokens(0),
+        owed: !repeatable,
         repeatable,
+        retries: Arc::new(UnlimitedRetries),
         returning: plain.head.is_returning(node, &plain.account),
+        run_limit: u32::MAX,
+        stall_limit: None,
+        tokens_per_index: 1,
     }
 }
 
--- a/src/transport/logs.rs
+++ b/src/transport/logs.rs
@@ -2,8 +2,7 @@
 //! `member`, `config`, `ticket`, `store`, `daemon` or `span`.
 
 use crate::transport::settings::{DaemonSettings, LogFormat, LogLevel};
-use fastrace::collector::{Config, Reporter, SpanRecord};
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::filter::FilterResult;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{FilterCriteria, Level, LevelFilter};
@@ -26,9 +25,15 @@
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter).filter(libraries).append(append))
         .apply();
-    if settings.log_spans {
-        fastrace::set_reporter(SpanLogger, Config::default());
-    }
+}
+
+/// Installs a logger that writes one JSON object a line to standard output.
+pub fn install_structured() {
+    let append = Stdout::default().with_layout(JsonLayout::default());
+    let filter = LevelFilter::MoreSevereEqual(Level::Info);
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).filter(HideLibraries).append(append))
+        .apply();
 }
 
 /// Rejects what libraries log below the level of warnings.
@@ -44,21 +49,3 @@
         }
     }
 }
-
-/// Writes each finished span as one log line.
-struct SpanLogger;
-
-impl Reporter for SpanLogger {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in spans {
-            log::info!(
-                "span: {} trace={} id={} parent={} us={}",
-                span.name,
-                span.trace_id,
-                span.span_id,
-                span.parent_id,
-                span.duration_ns / 1000
-            );
-        }
-    }
-}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,12 +1,16 @@
 //! Sockets, HTTP and timers. This layer feeds events to the decisions and carries out their
 //! actions; it decides nothing itself.
 
+pub mod build;
 pub mod claims;
 pub mod consul;
+#[cfg(feature = "interface")]
 pub mod daemon;
 pub mod engine;
 pub mod error;
+pub mod gateway;
 pub mod gossip;
+#[cfg(feature = "interface")]
 pub mod http;
 pub mod links;
 pub mod logs;
@@ -16,5 +20,6 @@
 pub mod runs;
 pub mod settings;
 pub mod shards;
+pub mod spans;
 pub mod tickets;
 pub mod watcher;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -18,6 +18,7 @@
 use crate::transport::engine::UpstreamClient;
 use crate::transport::links::PeerLinks;
 use crate::transport::orders::OrderTable;
+use crate::transport::runs::AttemptCancel;
 use crate::transport::settings::DaemonSettings;
 use crate::transport::shards::ShardTable;
 use std::collections::{BTreeMap, BTreeSet};
@@ -82,8 +83,10 @@
     pub tickets: Mutex<TicketTable>,
     /// Wakes the stop when the heir has confirmed.
     pub tickets_taken: Notify,
+    /// Cancels attempts whose entry is gone.
+    pub cancels: Arc<dyn AttemptCancel>,
     /// Calls upstreams.
-    pub upstreams: UpstreamClient,
+    pub upstreams: Arc<UpstreamClient>,
     /// The number of the last request.
     pub sequence: AtomicU64,
 }
@@ -112,13 +115,24 @@
 
     /// Returns the daemons of a shard in the order of duty.
     pub fn shard_order(&self, service: &ServiceName, domain: &DomainName) -> Vec<MemberRecord> {
+        let scope = self.placement_of(service);
         let members = lock(&self.members);
+        if scope == PlacementScope::Entry {
+            return vec![members.me().clone()];
+        }
         let eligible: BTreeMap<_, _> =
             members.eligible(domain).map(|record| (record.daemon.clone(), record)).collect();
         let ranked = rank_daemons(&shard_duty(service, domain), eligible.keys());
         ranked.into_iter().map(|daemon| eligible[daemon].clone()).collect()
     }
 
+    /// Returns who places the requests of a service.
+    pub fn placement_of(&self, service: &ServiceName) -> PlacementScope {
+        let config = lock(&self.config);
+        let template = config.current().templates.get(service);
+        template.map_or(PlacementScope::Domain, |template| template.placement)
+    }
+
     /// Says something to a shard's owner.
     pub fn tell_owner(
         self: &Arc<Self>,
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -7,13 +7,11 @@
 use crate::transport::claims::release;
 use crate::transport::engine::CallContext;
 use crate::transport::node::{DaemonNode, lock};
-use crate::transport::runs::{UpstreamRun, UpstreamWork};
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use futures::future::join_all;
+use crate::transport::runs::{AttemptSite, RunOrder, UpstreamWork};
+use crate::transport::spans::RequestTrace;
 use metrics::{counter, histogram};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tokio::sync::mpsc::{self, Sender, UnboundedReceiver, UnboundedSender};
 use tokio::task::AbortHandle;
 
@@ -21,8 +19,6 @@
 const CALLER_QUEUE: usize = 256;
 /// How long a caller that does not read is waited for after its deadline.
 const FINAL_PATIENCE: Duration = Duration::from_secs(1);
-/// How often an entry tries to cancel before it leaves that to the shard's owner.
-const CANCEL_TRIES: usize = 2;
 /// The longest sleep between two looks at the clock.
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
@@ -70,8 +66,8 @@
     node: &Arc<DaemonNode>,
     service: ServiceName,
     spec: RequestSpec,
-    work: UpstreamWork,
-    trace: SpanContext,
+    work: Arc<dyn UpstreamWork>,
+    trace: Box<dyn RequestTrace>,
 ) -> mpsc::Receiver<CallerPart> {
     let (parts, receiver) = mpsc::channel(CALLER_QUEUE);
     let (events, inbox) = mpsc::unbounded_channel();
@@ -87,10 +83,10 @@
     let sequence = spec.id.sequence;
     let prompt = spec.prompt;
     let driver = RequestDriver {
-        answer: Arc::new(Mutex::new(None)),
+        claim: None,
+        deadline: spec.deadline,
         events,
         flow: RequestFlow::new(now, spec),
-        hop: None,
         latency,
         lost_caller: false,
         node: node.clone(),
@@ -98,9 +94,9 @@
         prefilled: false,
         prompt,
         service,
-        span: Span::root("request", trace),
         task: None,
-        work: Arc::new(work),
+        trace,
+        work,
     };
     let node = node.clone();
     tokio::spawn(async move {
@@ -111,10 +107,11 @@
 }
 
 struct RequestDriver {
-    answer: Arc<Mutex<Option<StoredAnswer>>>,
+    /// What the current attempt holds.
+    claim: Option<SlotClaim>,
+    deadline: Instant,
     events: UnboundedSender<FlowEvent>,
     flow: RequestFlow,
-    hop: Option<Span>,
     latency: LatencyRecord,
     /// Whether the caller did not take a part of its answer.
     lost_caller: bool,
@@ -123,9 +120,9 @@
     prefilled: bool,
     prompt: Tokens,
     service: ServiceName,
-    span: Span,
     task: Option<AbortHandle>,
-    work: Arc<UpstreamWork>,
+    trace: Box<dyn RequestTrace>,
+    work: Arc<dyn UpstreamWork>,
 }
 
 impl RequestDriver {
@@ -212,19 +209,25 @@
     }
 
     fn begin_hop(&mut self, name: &'static str) {
-        self.hop = Some(Span::enter_with_parent(name, &self.span));
+        self.trace.begin_hop(name);
     }
 
     fn context(&self, attempt: &AttemptId) -> CallContext {
-        let span = self.hop.as_ref().unwrap_or(&self.span);
-        let context = SpanContext::from_span(span);
-        CallContext {
-            attempt: attempt.clone(),
-            traceparent: context.map(|context| context.encode_w3c_traceparent()),
-        }
+        CallContext { attempt: attempt.clone(), traceparent: self.trace.traceparent() }
+    }
+
+    fn site(
+        &self,
+        attempt: &AttemptId,
+        address: SocketAddr,
+        upstream: UpstreamName,
+    ) -> AttemptSite {
+        let context = self.context(attempt);
+        AttemptSite { address, context, deadline: self.deadline, upstream }
     }
 
     fn claim(&mut self, domain: &DomainName, claim: SlotClaim) {
+        self.claim = Some(claim.clone());
         let message = lock(&self.node.claims).book(&self.service, domain).insert(claim);
         self.node.tell_claim_holders(&self.service, domain, &message);
     }
@@ -258,13 +261,12 @@
         upstreams: Vec<SocketAddr>,
         outcome: ReleaseOutcome,
     ) {
-        let plain = matches!(*self.work, UpstreamWork::Plain(_));
-        if outcome != ReleaseOutcome::Stopped || plain {
+        if outcome != ReleaseOutcome::Stopped {
             return release(&self.node, &self.service, &domain, attempt, outcome);
         }
-        let (node, service) = (self.node.clone(), self.service.clone());
+        let (node, service, work) = (self.node.clone(), self.service.clone(), self.work.clone());
         tokio::spawn(async move {
-            let confirmed = cancel_everywhere(&node, &upstreams, &attempt).await;
+            let confirmed = work.cancel(&upstreams, &attempt).await;
             let outcome = match confirmed {
                 true => ReleaseOutcome::Stopped,
                 false => ReleaseOutcome::Unconfirmed,
@@ -277,16 +279,16 @@
         self.begin_hop("prefill");
         // A result that was kept for another try and is computed anew was wasted after all.
         self.count_waste(false);
-        let context = self.context(&attempt);
-        let (node, events, work) = (self.node.clone(), self.events.clone(), self.work.clone());
+        let prefill = self.claim.as_ref().and_then(|claim| claim.prefill.clone());
+        let Some(site) = prefill.map(|name| self.site(&attempt, address, name)) else { return };
+        let (events, work) = (self.events.clone(), self.work.clone());
         counter!("apricotrun_prefill_tokens_total").increment(u64::from(self.prompt.0));
         let task = tokio::spawn(async move {
-            let UpstreamWork::Tokens { body, path } = &*work else { return };
-            let event = match node.upstreams.prefill(address, path, body, &context).await {
+            let event = match work.prefill(&site).await {
                 Ok(handle) => FlowEvent::PrefillDone(attempt, handle),
                 Err(loss) => FlowEvent::PrefillFailed(attempt, loss),
             };
-            let _ = events.send(event);
+            send_event(&events, event);
         });
         self.task = Some(task.abort_handle());
     }
@@ -300,21 +302,18 @@
     ) {
         self.begin_hop("run");
         self.prefilled = handle.is_some();
-        let run = UpstreamRun {
-            address,
-            answer: self.answer.clone(),
-            context: self.context(&attempt),
-            events: self.events.clone(),
-            from,
-            handle,
-            node: self.node.clone(),
-            work: self.work.clone(),
-        };
-        self.task = Some(tokio::spawn(run.run()).abort_handle());
+        let Some(runner) = self.claim.as_ref().map(|claim| claim.runner.clone()) else { return };
+        let order = RunOrder { from, handle, site: self.site(&attempt, address, runner) };
+        let (events, work) = (self.events.clone(), self.work.clone());
+        let task = tokio::spawn(async move {
+            let last = work.run(&order, &events).await;
+            send_event(&events, last.unwrap_or_else(|loss| FlowEvent::RunFailed(attempt, loss)));
+        });
+        self.task = Some(task.abort_handle());
     }
 
     async fn finish(&mut self) {
-        let answer = lock(&self.answer).take();
+        let answer = self.work.take_answer();
         let tokens = self.flow.tokens();
         let service = self.service.to_string();
         counter!("apricotrun_requests_total", "service" => service.clone(), "verdict" => "ran")
@@ -343,18 +342,8 @@
     }
 }
 
-async fn cancel_everywhere(
-    node: &DaemonNode,
-    upstreams: &[SocketAddr],
-    attempt: &AttemptId,
-) -> bool {
-    let cancels = upstreams.iter().map(|address| async move {
-        for _ in 0..CANCEL_TRIES {
-            if node.upstreams.cancel(*address, attempt).await {
-                return true;
-            }
-        }
-        false
-    });
-    join_all(cancels).await.into_iter().all(|confirmed| confirmed)
+fn send_event(events: &UnboundedSender<FlowEvent>, event: FlowEvent) {
+    if events.send(event).is_err() {
+        log::debug!("entry: an upstream's last event came after the end of its request");
+    }
 }
--- a/src/transport/runs.rs
+++ b/src/transport/runs.rs
@@ -1,87 +1,214 @@
-//! One run of an attempt at a decode worker or plain upstream.
+//! What an attempt does at its upstreams, and the work of the OpenAI protocol.
 
 use crate::coordination::flow::{FlowEvent, KvHandle, UpstreamLoss};
 use crate::coordination::tickets::StoredAnswer;
-use crate::transport::engine::{CallContext, EngineEvent, PlainCall};
-use crate::transport::node::{DaemonNode, lock};
+use crate::prelude::*;
+use crate::transport::engine::{CallContext, EngineEvent, PlainCall, UpstreamClient};
+use crate::transport::node::lock;
 use futures::StreamExt;
+use futures::future::{BoxFuture, join_all};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::UnboundedSender;
 
-/// What an upstream is asked to do.
-#[derive(Clone, Debug)]
-pub enum UpstreamWork {
-    /// A call that is passed on as it is.
-    Plain(PlainCall),
-    /// An answer of a model.
-    Tokens {
-        /// The request's body.
-        body: Value,
-        /// The path at the engine.
-        path: String,
-    },
-}
+/// How often an entry tries to cancel before it leaves that to the shard's owner.
+const CANCEL_TRIES: usize = 2;
 
-/// One run at a decode worker or plain upstream.
-pub struct UpstreamRun {
-    /// Where it runs.
+/// One attempt at one upstream.
+#[derive(Clone, Debug)]
+pub struct AttemptSite {
+    /// The upstream's address.
     pub address: SocketAddr,
-    /// Takes a plain upstream's answer.
-    pub answer: Arc<Mutex<Option<StoredAnswer>>>,
     /// The attempt and its trace.
     pub context: CallContext,
-    /// The request's flow.
-    pub events: UnboundedSender<FlowEvent>,
+    /// When the caller's patience ends.
+    pub deadline: Instant,
+    /// The upstream's name.
+    pub upstream: UpstreamName,
+}
+
+/// A run that is to produce an answer.
+#[derive(Clone, Debug)]
+pub struct RunOrder {
     /// The first token that the caller lacks.
     pub from: u32,
     /// Where the computed prompt lies.
     pub handle: Option<KvHandle>,
-    /// This daemon.
-    pub node: Arc<DaemonNode>,
-    /// What is asked.
-    pub work: Arc<UpstreamWork>,
+    /// The decode worker or plain upstream.
+    pub site: AttemptSite,
+}
+
+/// Cancels what an attempt may have left at an upstream.
+pub trait AttemptCancel: Send + Sync {
+    /// Returns whether the upstream has confirmed that nothing of the attempt is left.
+    fn cancel<'a>(&'a self, address: SocketAddr, attempt: &'a AttemptId) -> BoxFuture<'a, bool>;
+}
+
+impl AttemptCancel for UpstreamClient {
+    fn cancel<'a>(&'a self, address: SocketAddr, attempt: &'a AttemptId) -> BoxFuture<'a, bool> {
+        Box::pin(UpstreamClient::cancel(self, address, attempt))
+    }
+}
+
+/// For upstreams that drop an attempt when its connection closes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConnectionCancel;
+
+impl AttemptCancel for ConnectionCancel {
+    fn cancel<'a>(&'a self, _: SocketAddr, _: &'a AttemptId) -> BoxFuture<'a, bool> {
+        Box::pin(async { true })
+    }
+}
+
+/// What a request needs done at its upstreams. Each protocol that upstreams speak has its own.
+///
+/// A future that is dropped must leave nothing running on its connection.
+pub trait UpstreamWork: Send + Sync {
+    /// Computes the prompt.
+    fn prefill<'a>(
+        &'a self,
+        site: &'a AttemptSite,
+    ) -> BoxFuture<'a, Result<KvHandle, UpstreamLoss>>;
+
+    /// Produces the answer. Tokens go to `events`; the returned event is the last one.
+    fn run<'a>(
+        &'a self,
+        order: &'a RunOrder,
+        events: &'a UnboundedSender<FlowEvent>,
+    ) -> BoxFuture<'a, Result<FlowEvent, UpstreamLoss>>;
+
+    /// Makes sure that nothing of an attempt is left at these upstreams; returns whether all have
+    /// confirmed it.
+    fn cancel<'a>(
+        &'a self,
+        upstreams: &'a [SocketAddr],
+        attempt: &'a AttemptId,
+    ) -> BoxFuture<'a, bool>;
+
+    /// Returns the answer of a plain upstream, once.
+    fn take_answer(&self) -> Option<StoredAnswer> {
+        None
+    }
+}
+
+/// A call that is passed on to a plain upstream as it is.
+pub struct PlainWork {
+    answer: Mutex<Option<StoredAnswer>>,
+    call: PlainCall,
+    client: Arc<UpstreamClient>,
+}
+
+impl PlainWork {
+    /// Returns the work of a call.
+    pub fn new(client: Arc<UpstreamClient>, call: PlainCall) -> Self {
+        Self { answer: Mutex::new(None), call, client }
+    }
 }
 
-impl UpstreamRun {
-    /// Runs to the end and passes everything on to the flow.
-    pub async fn run(self) {
-        let attempt = self.context.attempt.clone();
-        let event = match &*self.work {
-            UpstreamWork::Plain(call) => self.call(call).await,
-            UpstreamWork::Tokens { body, path } => self.decode(body, path).await,
-        };
-        let _ = self.events.send(match event {
-            Ok(event) => event,
-            Err(loss) => FlowEvent::RunFailed(attempt, loss),
-        });
+impl UpstreamWork for PlainWork {
+    fn prefill<'a>(&'a self, _: &'a AttemptSite) -> BoxFuture<'a, Result<KvHandle, UpstreamLoss>> {
+        // A plain service has no prefill workers; a template that says so is at fault.
+        Box::pin(async { Err(UpstreamLoss::NothingSent) })
+    }
+
+    fn run<'a>(
+        &'a self,
+        order: &'a RunOrder,
+        _events: &'a UnboundedSender<FlowEvent>,
+    ) -> BoxFuture<'a, Result<FlowEvent, UpstreamLoss>> {
+        Box::pin(async move {
+            let site = &order.site;
+            let answer = self.client.call(site.address, &self.call, &site.context).await?;
+            *lock(&self.answer) = Some(answer);
+            Ok(FlowEvent::CallAnswered(site.context.attempt.clone()))
+        })
     }
 
-    async fn call(&self, call: &PlainCall) -> Result<FlowEvent, UpstreamLoss> {
-        let answer = self.node.upstreams.call(self.address, call, &self.context).await?;
-        *lock(&self.answer) = Some(answer);
-        Ok(FlowEvent::CallAnswered(self.context.attempt.clone()))
+    fn cancel<'a>(&'a self, _: &'a [SocketAddr], _: &'a AttemptId) -> BoxFuture<'a, bool> {
+        // Plain services know no cancel.
+        Box::pin(async { true })
     }
 
-    async fn decode(&self, body: &Value, path: &str) -> Result<FlowEvent, UpstreamLoss> {
-        let upstreams = &self.node.upstreams;
-        let handle = self.handle.as_ref();
-        let events =
-            upstreams.decode(self.address, path, body, handle, self.from, &self.context).await?;
-        let mut events = std::pin::pin!(events);
-        while let Some(event) = events.next().await {
-            let attempt = self.context.attempt.clone();
+    fn take_answer(&self) -> Option<StoredAnswer> {
+        lock(&self.answer).take()
+    }
+}
+
+/// A completion by engines that speak the OpenAI protocol.
+pub struct CompletionWork {
+    /// The request's body.
+    pub body: Value,
+    /// Calls the engines.
+    pub client: Arc<UpstreamClient>,
+    /// The path at the engine.
+    pub path: String,
+}
+
+impl CompletionWork {
+    async fn decode(
+        &self,
+        order: &RunOrder,
+        events: &UnboundedSender<FlowEvent>,
+    ) -> Result<FlowEvent, UpstreamLoss> {
+        let site = &order.site;
+        let handle = order.handle.as_ref();
+        let decoded = self
+            .client
+            .decode(site.address, &self.path, &self.body, handle, order.from, &site.context)
+            .await?;
+        let mut decoded = std::pin::pin!(decoded);
+        while let Some(event) = decoded.next().await {
+            let attempt = site.context.attempt.clone();
             match event {
                 Ok(EngineEvent::Token { marked, index, text }) => {
                     let token = FlowEvent::Token { attempt, index, marked, text };
-                    let _ = self.events.send(token);
+                    if events.send(token).is_err() {
+                        break;
+                    }
                 }
                 Ok(EngineEvent::End(total)) => return Ok(FlowEvent::RunEnded(attempt, total)),
                 Err(_) => break,
             }
         }
         // Without an end marker the answer is not whole.
-        Err(upstreams.diagnose(self.address).await)
+        Err(self.client.diagnose(site.address).await)
+    }
+
+    async fn cancel_at(&self, address: SocketAddr, attempt: &AttemptId) -> bool {
+        for _ in 0..CANCEL_TRIES {
+            if self.client.cancel(address, attempt).await {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+impl UpstreamWork for CompletionWork {
+    fn prefill<'a>(
+        &'a self,
+        site: &'a AttemptSite,
+    ) -> BoxFuture<'a, Result<KvHandle, UpstreamLoss>> {
+        Box::pin(self.client.prefill(site.address, &self.path, &self.body, &site.context))
+    }
+
+    fn run<'a>(
+        &'a self,
+        order: &'a RunOrder,
+        events: &'a UnboundedSender<FlowEvent>,
+    ) -> BoxFuture<'a, Result<FlowEvent, UpstreamLoss>> {
+        Box::pin(self.decode(order, events))
+    }
+
+    fn cancel<'a>(
+        &'a self,
+        upstreams: &'a [SocketAddr],
+        attempt: &'a AttemptId,
+    ) -> BoxFuture<'a, bool> {
+        Box::pin(async move {
+            let cancels = upstreams.iter().map(|address| self.cancel_at(*address, attempt));
+            join_all(cancels).await.into_iter().all(|confirmed| confirmed)
+        })
     }
 }
--- a/src/transport/shards.rs
+++ b/src/transport/shards.rs
@@ -88,7 +88,7 @@
         spec: UpstreamSpec,
         attempt: AttemptId,
     ) {
-        if self.upstreams.cancel(spec.address, &attempt).await {
+        if self.cancels.cancel(spec.address, &attempt).await {
             counter!("apricotrun_orphans_cancelled_total").increment(1);
             log::info!("shard: {service}: {} confirmed the cancel of {attempt}", spec.name);
             self.handle_shard(service, ShardEvent::CancelConfirmed(attempt, spec.name));
@@ -121,7 +121,9 @@
         let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
         for service in services {
             let ranked = rank_daemons(&shard_duty(&service, &domain), eligible.iter());
+            let scope = self.placement_of(&service);
             let role = match ranked.iter().position(|daemon| **daemon == self.me) {
+                _ if scope == PlacementScope::Entry => ShardRole::Owner,
                 Some(0) => ShardRole::Owner,
                 Some(position) if position < SHARD_HOLDERS => ShardRole::Backup,
                 _ => ShardRole::Bystander,
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -7,7 +7,7 @@
 use crate::policy::report::{PolicyReport, RequestRecord};
 use crate::policy::timeline::Timeline;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries, UpstreamLoss,
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
@@ -114,6 +114,7 @@
         checks_fencing: false,
         domain: domain(),
         leaving: false,
+        life: Incarnation::default(),
         name: format!("{port}-{index}").parse().expect("a valid name"),
         pieces,
         role,
@@ -133,6 +134,7 @@
         models: BTreeSet::new(),
         non_idempotent: Vec::new(),
         piece_tokens: Tokens(2_000),
+        placement: PlacementScope::default(),
         prefill_tokens_per_second: TokenRate(mix.prefill_rate),
         retry_window: Duration::from_secs(600),
         service: "llm".parse().expect("a valid name"),
@@ -243,6 +245,7 @@
             crashes: 0,
             deadline: at(self.mix.deadline),
             domains: vec![domain()],
+            first_index: 0,
             eviction: Duration::from_secs_f64(self.mix.eviction),
             fingerprint: Fingerprint::of(&[&id.to_le_bytes()]),
             first_token_due: at(self.mix.first_target),
@@ -251,8 +254,13 @@
             prefill_time: seconds(arrival.prompt, self.mix.prefill_rate),
             prefix: Vec::new(),
             prompt: Tokens(arrival.prompt),
+            owed: false,
             repeatable: true,
+            retries: Arc::new(UnlimitedRetries),
             returning,
+            run_limit: u32::MAX,
+            stall_limit: None,
+            tokens_per_index: 1,
         }
     }
 
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -1,13 +1,14 @@
 //! Failures of one request as lists of events against the real flow.
 
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries, UpstreamLoss,
 };
 use apricotrun::coordination::messages::{
     ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use apricotrun::prelude::*;
 use apricotrun::state::clock::ManualClock;
+use std::sync::Arc;
 
 const SECOND: Duration = Duration::from_secs(1);
 const MILLI: Duration = Duration::from_millis(1);
@@ -38,6 +39,7 @@
             crashes: 0,
             deadline: now + SECOND * 60,
             domains: vec![domain("tyrol-a"), domain("tyrol-b"), domain("tyrol-c")],
+            first_index: 0,
             eviction: MILLI * 800,
             fingerprint: Fingerprint::of(&[b"body"]),
             first_token_due: now + SECOND * 2,
@@ -46,8 +48,13 @@
             prefill_time: MILLI * 100,
             prefix: Vec::new(),
             prompt: Tokens(1_000),
+            owed: false,
             repeatable: true,
+            retries: Arc::new(UnlimitedRetries),
             returning: false,
+            run_limit: u32::MAX,
+            stall_limit: None,
+            tokens_per_index: 1,
         };
         change(&mut spec);
         Self { flow: RequestFlow::new(now, spec), clock, home: domain("tyrol-a") }
@@ -56,6 +63,7 @@
     fn plain(repeatable: bool) -> Self {
         Self::new(|spec| {
             spec.between_token_target = Duration::ZERO;
+            spec.owed = !repeatable;
             spec.repeatable = repeatable;
         })
     }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -29,6 +29,7 @@
         checks_fencing,
         domain: "tyrol-a".parse().expect("a name"),
         leaving: false,
+        life: Incarnation::default(),
         name: name.parse().expect("a name"),
         pieces: None,
         role: UpstreamRole::Decode,
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -5,7 +5,7 @@
 
 use apricotrun::coordination::claims::ClaimBook;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamLoss,
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries, UpstreamLoss,
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
@@ -116,6 +116,7 @@
         checks_fencing: false,
         domain: domain(),
         leaving: false,
+        life: Incarnation::default(),
         name: format!("w{index}").parse().expect("a name"),
         pieces: Some(Pieces(2)),
         role,
@@ -131,6 +132,7 @@
         models: BTreeSet::new(),
         non_idempotent: Vec::new(),
         piece_tokens: Tokens(2_000),
+        placement: PlacementScope::default(),
         prefill_tokens_per_second: TokenRate(10_000.0),
         retry_window: Duration::from_secs(600),
         service: "llm".parse().expect("a name"),
@@ -235,6 +237,7 @@
             crashes: 0,
             deadline: self.now + Duration::from_secs(20),
             domains: vec![domain()],
+            first_index: 0,
             eviction: Duration::from_millis(800),
             fingerprint: Fingerprint::of(&[&self.sequence.to_le_bytes()]),
             first_token_due: self.now + Duration::from_secs(2),
@@ -243,8 +246,13 @@
             prefill_time: Duration::from_millis(100),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
+            owed: !repeatable,
             repeatable,
+            retries: Arc::new(UnlimitedRetries),
             returning: false,
+            run_limit: u32::MAX,
+            stall_limit: None,
+            tokens_per_index: 1,
         };
         let request = SearchRequest {
             emitted: 0,
