--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -47,6 +47,10 @@
             self.give_back(domain, grant, out);
             return self.ask(now, out);
         }
+        if self.spec.domains.get(self.domain) != Some(&domain) {
+            // Another failure domain was faster than the queue at home.
+            self.withdraw(out);
+        }
         self.kept = None;
         self.open(out);
         self.starts += 1;
@@ -60,7 +64,9 @@
             }
         }
         let progress_due = self.progress_due(now, running);
-        let active = ActiveAttempt { domain, grant, heard: false, kept, progress_due, running };
+        let report_at = now;
+        let active =
+            ActiveAttempt { domain, grant, heard: false, kept, progress_due, report_at, running };
         self.stage = FlowStage::Active(Box::new(active));
     }
 
@@ -153,6 +159,18 @@
         }
         self.next_token += 1;
         out.push(FlowAction::Emit(text));
+        self.report_progress(now, out);
+    }
+
+    fn report_progress(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        let produced = Tokens(self.tokens().saturating_mul(self.spec.tokens_per_index));
+        let FlowStage::Active(active) = &mut self.stage else { return };
+        let Some(period) = self.spec.progress_period.filter(|_| active.report_at <= now) else {
+            return;
+        };
+        active.report_at = now + period;
+        let attempt = active.grant.claim.attempt.clone();
+        out.push(FlowAction::Progress(active.domain.clone(), attempt, produced));
     }
 
     pub(super) fn run_ended(
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -45,10 +45,14 @@
     pub prefill_time: Duration,
     /// The prompt's length.
     pub prompt: Tokens,
+    /// The longest answer; `answer` is the expected one.
+    pub longest: Tokens,
     /// Whether the answer is still owed after the caller has left.
     pub owed: bool,
     /// Whether a second run does no harm.
     pub repeatable: bool,
+    /// How often the owner hears how far a run has come; never when absent.
+    pub progress_period: Option<Duration>,
     /// What allows this daemon to use an upstream for a request that already used one.
     pub retries: Arc<dyn RetryAllowance>,
     /// Whether the caller comes back at a booked time.
@@ -142,6 +146,8 @@
     Claim(DomainName, SlotClaim),
     /// The attempt has come further: record it, and tell owner and backup.
     Advance(DomainName, AttemptId, ClaimPhase),
+    /// Tell the owner how many tokens the attempt has produced.
+    Progress(DomainName, AttemptId, Tokens),
     /// The attempt holds nothing: record it, and tell owner and backup.
     Release(DomainName, AttemptId, ReleaseOutcome),
     /// Stop the attempt's connections, cancel it at these upstreams until they confirm, and then
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -22,8 +22,10 @@
 const OWNER_LIMIT: Duration = Duration::from_secs(4);
 /// When to come back to a service whose owner is silent.
 const OWNER_WAIT: Duration = Duration::from_secs(2);
-/// How many owners of other failure domains are asked after the local one refuses.
-const MAX_SPILLS: usize = 1;
+/// How long an owner may stay silent before that of another failure domain is asked.
+const SPILL_AFTER: Duration = Duration::from_millis(60);
+/// How often an owner of another failure domain is asked while the request waits at home.
+const SPILL_PERIOD: Duration = Duration::from_millis(150);
 /// The weight at which a request is refused everywhere.
 pub const CRASH_LIMIT: u32 = 3;
 
@@ -42,12 +44,28 @@
     heard: bool,
     kept: Option<KeptPrompt>,
     progress_due: Instant,
+    /// When the owner next hears how far the run has come.
+    report_at: Instant,
     running: bool,
 }
 
+/// How a request looks for upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AskRound {
+    /// It asks one failure domain after another for room that is free now.
+    Looking,
+    /// It waits in the queue of the first, and looks at the others now and then.
+    Waiting {
+        /// The last of the others that was asked.
+        looked: usize,
+        /// When the next one is asked.
+        look_at: Instant,
+    },
+}
+
 #[derive(Debug)]
 enum FlowStage {
-    Asking { first: Instant, next: Instant, heard: bool },
+    Asking { first: Instant, next: Instant, heard: bool, round: AskRound },
     Active(Box<ActiveAttempt>),
     Ended,
 }
@@ -62,11 +80,9 @@
     kept: Option<KeptPrompt>,
     next_token: u32,
     opened: bool,
-    refusal: Option<Refusal>,
     /// How many upstreams may have run it.
     runs: u32,
     spec: RequestSpec,
-    spills: usize,
     stage: FlowStage,
     starts: u32,
     suspect: bool,
@@ -87,11 +103,14 @@
             kept: None,
             next_token: spec.first_index,
             opened: false,
-            refusal: None,
             runs: 0,
             spec,
-            spills: 0,
-            stage: FlowStage::Asking { first: now, next: now, heard: false },
+            stage: FlowStage::Asking {
+                first: now,
+                heard: false,
+                next: now,
+                round: AskRound::Looking,
+            },
             starts: 0,
             suspect: crashes > 0,
             touched: false,
@@ -137,6 +156,9 @@
     /// Returns when the flow wants its next [`FlowEvent::Tick`].
     pub fn next_wake(&self) -> Option<Instant> {
         let step = match &self.stage {
+            FlowStage::Asking { next, round: AskRound::Waiting { look_at, .. }, .. } => {
+                (*next).min(*look_at)
+            }
             FlowStage::Asking { next, .. } => *next,
             FlowStage::Active(active) => active.progress_due,
             FlowStage::Ended => return None,
@@ -186,13 +208,39 @@
         self.ask(now, out);
     }
 
+    /// Looks for room in the first failure domain, then in the others, then waits in the first.
     fn ask(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         self.attempt += 1;
-        self.stage = FlowStage::Asking { first: now, next: now + ASK_RETRY, heard: false };
-        self.send_ask(now, out);
+        self.domain = 0;
+        if self.spec.domains.len() == 1 {
+            return self.wait_at_home(now, out);
+        }
+        let next = now + SPILL_AFTER;
+        self.stage = FlowStage::Asking { first: now, heard: false, next, round: AskRound::Looking };
+        self.send_ask(now, self.domain, true, out);
+    }
+
+    fn wait_at_home(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        self.domain = 0;
+        let round = AskRound::Waiting { looked: 0, look_at: now + SPILL_PERIOD };
+        let next = now + ASK_RETRY;
+        self.stage = FlowStage::Asking { first: now, heard: false, next, round };
+        self.send_ask(now, self.domain, false, out);
     }
 
-    fn send_ask(&self, now: Instant, out: &mut Vec<FlowAction>) {
+    /// Asks the next failure domain for room that is free now, or waits at home after the last.
+    fn look_on(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        if self.domain + 1 >= self.spec.domains.len() {
+            return self.wait_at_home(now, out);
+        }
+        self.domain += 1;
+        if let FlowStage::Asking { next, .. } = &mut self.stage {
+            *next = now + SPILL_AFTER;
+        }
+        self.send_ask(now, self.domain, true, out);
+    }
+
+    fn send_ask(&self, now: Instant, domain: usize, at_once: bool, out: &mut Vec<FlowAction>) {
         // What upstreams have lost is finished, late or not.
         let due = match self.starts {
             0 => self.spec.first_token_due,
@@ -202,9 +250,12 @@
         let ask = AskMessage {
             account: self.spec.account.clone(),
             answer: Tokens(self.spec.answer.0.saturating_sub(produced)),
+            at_once,
             attempt: self.current(),
+            fingerprint: self.spec.fingerprint,
             avoid: self.avoid.clone(),
             first_token_within: due.saturating_duration_since(now),
+            longest: Tokens(self.spec.longest.0.saturating_sub(produced)),
             prefilled: self.kept_prompt(now).is_some(),
             prefix: self.spec.prefix.clone(),
             prompt: Tokens(self.spec.prompt.0.saturating_add(produced)),
@@ -212,13 +263,14 @@
             returning: self.spec.returning,
             suspect: self.suspect,
         };
-        out.push(FlowAction::Tell(self.spec.domains[self.domain].clone(), ShardMessage::Ask(ask)));
+        out.push(FlowAction::Tell(self.spec.domains[domain].clone(), ShardMessage::Ask(ask)));
     }
 
     fn ask_again(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
-        let FlowStage::Asking { next, .. } = &mut self.stage else { return };
+        let FlowStage::Asking { next, round, .. } = &mut self.stage else { return };
         *next = now + ASK_RETRY;
-        self.send_ask(now, out);
+        let at_once = *round == AskRound::Looking;
+        self.send_ask(now, self.domain, at_once, out);
     }
 
     fn current(&self) -> AttemptId {
@@ -245,10 +297,11 @@
                     self.open(out);
                 }
             }
+            ShardMessage::Overdue(attempt, within) if self.is_current(&attempt) => {
+                self.spec.first_token_due = now + within;
+            }
             ShardMessage::Refuse(attempt, refusal) if self.is_current(&attempt) => {
-                if matches!(self.stage, FlowStage::Asking { .. }) {
-                    self.take_refusal(now, refusal, out);
-                }
+                self.take_refusal(now, &domain, refusal, out);
             }
             _ => {}
         }
@@ -261,24 +314,38 @@
         }
     }
 
-    fn take_refusal(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<FlowAction>) {
+    fn take_refusal(
+        &mut self,
+        now: Instant,
+        domain: &DomainName,
+        refusal: Refusal,
+        out: &mut Vec<FlowAction>,
+    ) {
+        let FlowStage::Asking { round, .. } = &self.stage else { return };
+        let asked = self.spec.domains.get(self.domain);
         let elsewhere = matches!(
             refusal.reason,
             RefusalReason::NoUpstream | RefusalReason::Overloaded | RefusalReason::TooLarge
         );
-        let first = *self.refusal.get_or_insert(refusal);
-        let more = self.domain + 1 < self.spec.domains.len() && self.spills < MAX_SPILLS;
-        if elsewhere && more && now < self.spec.deadline {
-            self.spills += 1;
-            self.domain += 1;
-            return self.ask(now, out);
+        if asked != Some(domain) {
+            // An owner that was asked for free room while the request waits at home.
+            return;
         }
-        self.refuse(first, out);
+        if *round == AskRound::Looking && elsewhere && now < self.spec.deadline {
+            return self.look_on(now, out);
+        }
+        self.withdraw(out);
+        self.refuse(refusal, out);
     }
 
     fn finish(&mut self, out: &mut Vec<FlowAction>) {
         if let FlowStage::Active(active) = std::mem::replace(&mut self.stage, FlowStage::Ended) {
             let attempt = active.grant.claim.attempt;
+            if self.spec.progress_period.is_some() {
+                let produced = Tokens(self.tokens().saturating_mul(self.spec.tokens_per_index));
+                let domain = active.domain.clone();
+                out.push(FlowAction::Progress(domain, attempt.clone(), produced));
+            }
             out.push(FlowAction::Release(active.domain, attempt, ReleaseOutcome::Finished));
         }
         out.push(FlowAction::Finish);
@@ -307,8 +374,10 @@
         matches!(&self.stage, FlowStage::Active(active) if active.running)
     }
 
+    /// Takes the request out of the queue that it may wait in.
     fn withdraw(&self, out: &mut Vec<FlowAction>) {
-        if matches!(self.stage, FlowStage::Asking { .. }) && self.attempt > 0 {
+        let waits = matches!(self.stage, FlowStage::Asking { round: AskRound::Waiting { .. }, .. });
+        if waits && self.attempt > 0 {
             let domain = self.spec.domains[self.domain].clone();
             out.push(FlowAction::Tell(domain, ShardMessage::Withdraw(self.current())));
         }
@@ -322,7 +391,19 @@
             return self.refuse(Refusal::not_run(RefusalReason::DeadlinePassed), out);
         }
         match &mut self.stage {
+            FlowStage::Asking { round: AskRound::Waiting { looked, look_at }, .. }
+                if *look_at <= now =>
+            {
+                *look_at = now + SPILL_PERIOD;
+                let others = self.spec.domains.len() - 1;
+                if others > 0 {
+                    *looked = *looked % others + 1;
+                    let domain = *looked;
+                    self.send_ask(now, domain, true, out);
+                }
+            }
             FlowStage::Asking { next, .. } if *next > now => {}
+            FlowStage::Asking { round: AskRound::Looking, .. } => self.look_on(now, out),
             FlowStage::Asking { first, heard: false, .. } if now >= *first + OWNER_LIMIT => {
                 self.withdraw(out);
                 let refusal = Refusal::not_run(RefusalReason::NoOwner).after(OWNER_WAIT);
@@ -330,7 +411,7 @@
             }
             FlowStage::Asking { next, heard, .. } => {
                 *next = now + if *heard { QUEUED_RETRY } else { ASK_RETRY };
-                self.send_ask(now, out);
+                self.send_ask(now, self.domain, false, out);
             }
             FlowStage::Active(active) if active.progress_due <= now => {
                 let attempt = active.grant.claim.attempt.clone();
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -24,6 +24,8 @@
     pub account: AccountName,
     /// The attempt, which the upstreams know as the request's id.
     pub attempt: AttemptId,
+    /// The part of the engine memory that fills only as the answer grows.
+    pub growth: Pieces,
     /// How far it has come.
     pub phase: ClaimPhase,
     /// The engine memory that it holds.
@@ -45,15 +47,21 @@
     pub attempt: AttemptId,
     /// The upstreams that this request has already lost or been refused by.
     pub avoid: Vec<UpstreamName>,
+    /// Whether to be refused at once where there is no room now, without a place in the queue.
+    pub at_once: bool,
+    /// A digest of the request, the same when its caller sends it again.
+    pub fingerprint: Fingerprint,
     /// How long the caller can still wait for the first token.
     pub first_token_within: Duration,
+    /// The longest answer; `answer` is the expected one.
+    pub longest: Tokens,
     /// Whether a prefill worker still keeps the computed prompt of an earlier attempt.
     pub prefilled: bool,
     /// Digests of the prompt's leading pieces, each covering all before it.
     pub prefix: Vec<u64>,
     /// The prompt's length.
     pub prompt: Tokens,
-    /// The longest answer.
+    /// The expected length of the answer.
     pub answer: Tokens,
     /// Whether the caller comes back at the time that an earlier refusal named.
     pub returning: bool,
@@ -63,6 +71,13 @@
     pub suspect: bool,
 }
 
+impl AskMessage {
+    /// Returns whether the first token is late already, whatever happens now.
+    pub fn is_late(&self) -> bool {
+        self.first_token_within.is_zero() && !self.resuming
+    }
+}
+
 /// Gives an attempt its upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GrantMessage {
@@ -102,10 +117,14 @@
     Grant(GrantMessage),
     /// Owner to entry: the ask waits its turn.
     Queued(AttemptId),
+    /// Owner to entry: the request was refused before, and its first token is due within this time.
+    Overdue(AttemptId, Duration),
     /// Owner to entry: no.
     Refuse(AttemptId, Refusal),
     /// Entry to owner and backup: an attempt holds this now.
     Claim(SlotClaim),
+    /// Entry to owner: how many tokens an attempt has produced.
+    Progress(AttemptId, Tokens),
     /// Entry to owner and backup: an attempt holds nothing any more.
     Release(AttemptId, ReleaseOutcome),
     /// Entry to owner and backups, now and then: a digest of all its claims.
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -8,11 +8,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// How long after an outage of the store a record that lapsed may take to return. The platform
-/// names two seconds; the rest is left for requests on their way when it counts as gone.
-const RETURN_TIME: Duration = Duration::from_millis(1_500);
-/// For how long after the store's return a disappearance may still be the outage's doing.
-const OUTAGE_ECHO: Duration = Duration::from_secs(3);
+/// How long after the store's return a record that lapsed during the outage may take to return, as
+/// the platform states it.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+/// For how long after the store's return a disappearance is still the outage's doing: two of the
+/// paces at which the store is followed.
+const OUTAGE_ECHO: Duration = Duration::from_millis(1_200);
 
 /// One upstream as it describes itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -52,7 +53,8 @@
 
 #[derive(Debug)]
 struct RegistryEntry {
-    lapsed: Option<Instant>,
+    /// When it counts as gone, if its record has lapsed.
+    lapses: Option<Instant>,
     record: UpstreamRecord,
 }
 
@@ -108,8 +110,10 @@
     }
 
     /// Returns whether an upstream may be sent a request now.
-    pub fn takes_work(&self, name: &UpstreamName) -> bool {
-        self.entries.get(name).is_some_and(|entry| !entry.record.leaving)
+    pub fn takes_work(&self, now: Instant, name: &UpstreamName) -> bool {
+        self.entries.get(name).is_some_and(|entry| {
+            !entry.record.leaving && entry.lapses.is_none_or(|until| now < until)
+        })
     }
 
     /// Returns the service of an upstream.
@@ -140,16 +144,16 @@
                 false => RegistryChange::Ready(name.clone()),
             });
         }
-        self.entries.insert(name, RegistryEntry { lapsed: None, record });
+        self.entries.insert(name, RegistryEntry { lapses: None, record });
     }
 
     fn remove(&mut self, now: Instant, name: &UpstreamName, changes: &mut Vec<RegistryChange>) {
-        let echo = self.returned.is_some_and(|at| now < at + OUTAGE_ECHO);
+        let returned = self.returned.filter(|at| now < *at + OUTAGE_ECHO);
         let Some(entry) = self.entries.get_mut(name) else { return };
         // Who was leaving before the outage does not return.
-        if echo && !entry.record.leaving {
-            if entry.lapsed.is_none() {
-                entry.lapsed = Some(now);
+        if let (Some(returned), false) = (returned, entry.record.leaving) {
+            if entry.lapses.is_none() {
+                entry.lapses = Some(returned + RETURN_TIME);
                 changes.push(RegistryChange::Lapsed(name.clone()));
             }
             return;
@@ -172,7 +176,7 @@
 
     fn bury(&mut self, now: Instant, changes: &mut Vec<RegistryChange>) {
         self.entries.retain(|name, entry| {
-            let over = entry.lapsed.is_some_and(|at| now >= at + RETURN_TIME);
+            let over = entry.lapses.is_some_and(|until| now >= until);
             if over {
                 changes.push(RegistryChange::Gone(name.clone()));
             }
--- a/src/coordination/shard/estimate.rs
+++ b/src/coordination/shard/estimate.rs
@@ -27,11 +27,30 @@
     }
 }
 
+/// A moving mean of lengths in tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MeanLength {
+    tokens: Option<f64>,
+}
+
+impl MeanLength {
+    /// Takes a sample in.
+    pub fn add(&mut self, sample: Tokens) {
+        let sample = f64::from(sample.0);
+        let mean = self.tokens.unwrap_or(sample);
+        self.tokens = Some(mean + NEWEST_WEIGHT * (sample - mean));
+    }
+}
+
 /// What is known of a shard's speed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadEstimate {
+    /// How long answers get, in tokens.
+    pub answer: MeanLength,
     /// How long attempts hold their decode or plain slot.
     pub hold: MeanDuration,
+    /// The pieces of memory that a run holds in the mean over its time.
+    pub need: MeanLength,
     /// How long attempts hold their prefill slot.
     pub prefill: MeanDuration,
 }
@@ -43,12 +62,33 @@
     pub prefill: u32,
     /// Of decode workers or plain upstreams.
     pub run: u32,
+    /// The pieces of memory of the decode workers; nothing when they are not limited.
+    pub pieces: Option<u64>,
 }
 
 impl LoadEstimate {
+    /// Returns how long an answer is likely to get whose caller guesses `hint`. Guesses are right
+    /// in the middle and far off at both ends, so the truth lies between guess and mean; on the scale
+    /// of ratios, since guesses are off by factors.
+    pub fn answer_length(&self, hint: Tokens) -> Tokens {
+        match self.answer.tokens {
+            Some(mean) => Tokens((f64::from(hint.0.max(1)) * mean).sqrt() as u32),
+            None => hint,
+        }
+    }
+
+    /// Returns how many requests run at the same time when slots or memory are full.
+    fn parallel_runs(&self, slots: UsableSlots) -> f64 {
+        let all = f64::from(slots.run);
+        match (slots.pieces, self.need.tokens) {
+            (Some(pieces), Some(need)) => all.min(pieces as f64 / need.max(1.0)),
+            _ => all,
+        }
+    }
+
     /// Returns how many requests a second the shard can start when it is busy.
     pub fn rate(&self, slots: UsableSlots, hold: Duration, prefill: Duration) -> f64 {
-        let run = f64::from(slots.run) / self.hold.seconds_or(hold);
+        let run = self.parallel_runs(slots) / self.hold.seconds_or(hold);
         if slots.prefill == 0 {
             return run;
         }
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -9,10 +9,11 @@
 use crate::coordination::messages::{ShardMessage, SlotClaim};
 use crate::coordination::shard::bookings::BookingSchedule;
 use crate::coordination::shard::estimate::LoadEstimate;
-use crate::coordination::shard::pool::WorkerPool;
+use crate::coordination::shard::pool::{MemoryPace, WorkerPool};
 use crate::coordination::shard::prefixes::PrefixMemory;
 use crate::coordination::shard::queue::FairQueue;
 use crate::coordination::shard::recovery::OwnerRecovery;
+use crate::coordination::shard::returns::RefusalMemory;
 use crate::prelude::*;
 use crate::state::fleet::AccountGrant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +31,7 @@
     prefixes: PrefixMemory,
     queue: FairQueue,
     recovery: Option<OwnerRecovery>,
+    returns: RefusalMemory,
     role: ShardRole,
     template: Option<Arc<ServiceTemplate>>,
 }
@@ -47,6 +49,7 @@
             prefixes: PrefixMemory::default(),
             queue: FairQueue::default(),
             recovery: None,
+            returns: RefusalMemory::default(),
             role: ShardRole::Bystander,
             template: None,
         }
@@ -69,7 +72,10 @@
             ShardEvent::Message(from, message) => {
                 self.take_message(now, from, message, &mut actions);
             }
-            ShardEvent::Tick => self.bookings.prune(now),
+            ShardEvent::Tick => {
+                self.bookings.prune(now);
+                self.returns.forget(now);
+            }
         }
         if self.role != ShardRole::Owner {
             self.pool.forget_orphans(now);
@@ -123,10 +129,16 @@
     ) {
         let domain = &self.domain;
         let specs = template.upstreams.iter().filter(|spec| match template.placement {
-            PlacementScope::Domain => spec.domain == *domain,
+            PlacementScope::Domain => {
+                let shared = template.shared_prefill && spec.role == UpstreamRole::Prefill;
+                spec.domain == *domain || shared
+            }
             PlacementScope::Entry => true,
         });
-        self.pool.configure(domain, specs);
+        let token_time = template.token_time;
+        let pace =
+            token_time.map(|time| MemoryPace { piece: template.piece_tokens, token_time: time });
+        self.pool.configure(domain, pace, specs);
         self.template = Some(template);
         self.grants = grants;
         let accounts: Vec<_> = self.grants.keys().cloned().collect();
@@ -200,6 +212,7 @@
     ) {
         match message {
             ShardMessage::Ask(ask) if self.role == ShardRole::Owner => {
+                let ask = self.recall(now, &from, ask, actions);
                 if let Some(reply) = self.take_ask(now, &from, ask) {
                     actions.push(ShardAction::Send(from, reply));
                 }
@@ -210,6 +223,9 @@
             ShardMessage::Claim(claim) if self.role != ShardRole::Bystander => {
                 self.take_claim(now, claim);
             }
+            ShardMessage::Progress(attempt, tokens) => {
+                self.pool.note_progress(now, &attempt, tokens);
+            }
             ShardMessage::Release(attempt, outcome) => self.release(now, &attempt, outcome),
             ShardMessage::Summary { count, digest } if self.role != ShardRole::Bystander => {
                 self.compare(from, count, digest, actions);
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -2,6 +2,7 @@
 
 use super::{ShardAction, ShardLedger};
 use crate::coordination::messages::{AskMessage, GrantMessage, ShardMessage};
+use crate::coordination::shard::pool::MemoryNeed;
 use crate::coordination::shard::queue::{MIN_SHARE, WaitingAsk};
 use crate::prelude::*;
 use crate::state::fleet::AccountGrant;
@@ -12,10 +13,29 @@
 /// The least time that an ask may wait, so that a request too long for its target still runs
 /// on an idle shard.
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
+/// How long a request waits for idle room whose first token is late already.
+const LATE_PATIENCE: Duration = Duration::from_millis(2_500);
 /// When to come back to a shard that has no upstream.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 
 impl ShardLedger {
+    /// Corrects when the first token is due of a request that was refused before.
+    pub(super) fn recall(
+        &self,
+        now: Instant,
+        from: &DaemonId,
+        ask: AskMessage,
+        actions: &mut Vec<ShardAction>,
+    ) -> AskMessage {
+        let due = self.returns.due(&ask.fingerprint).filter(|_| !ask.resuming);
+        let Some(within) = due.map(|due| due.saturating_duration_since(now)) else { return ask };
+        if within < ask.first_token_within {
+            let overdue = ShardMessage::Overdue(ask.attempt.clone(), within);
+            actions.push(ShardAction::Send(from.clone(), overdue));
+        }
+        AskMessage { first_token_within: within.min(ask.first_token_within), ..ask }
+    }
+
     pub(super) fn take_ask(
         &mut self,
         now: Instant,
@@ -43,6 +63,10 @@
         if let Some(granted) = self.try_grant_now(now, &template, &grant, &waiting) {
             return Some(ShardMessage::Grant(granted));
         }
+        if waiting.ask.at_once {
+            let refusal = Refusal::not_run(RefusalReason::Overloaded);
+            return Some(ShardMessage::Refuse(attempt, refusal));
+        }
         if let Some(refusal) = self.refuse_hopeless(now, &template, &waiting) {
             return Some(ShardMessage::Refuse(attempt, refusal));
         }
@@ -61,12 +85,13 @@
             return refuse(RefusalReason::Forbidden);
         };
         let usable = self.pool.usable(now);
-        let lacks_prefill = self.pool.needs_prefill() && usable.prefill == 0;
+        let needs_prefill = self.pool.needs_prefill() && !template.decode_computes;
+        let lacks_prefill = needs_prefill && usable.prefill == 0;
         if usable.run == 0 || lacks_prefill {
             let refusal = Refusal::not_run(RefusalReason::NoUpstream);
             return Err(refusal.after(NO_UPSTREAM_WAIT));
         }
-        if !self.pool.could_hold(pieces_of(template, ask)) {
+        if !self.pool.could_hold(self.need_of(template, ask).total()) {
             return refuse(RefusalReason::TooLarge);
         }
         if self.queue.waiting_of(&ask.account) >= grant.max_waiting as usize {
@@ -78,6 +103,9 @@
 
     /// Returns how long an ask can wait and still meet its target.
     pub(super) fn patience(&self, template: &ServiceTemplate, ask: &AskMessage) -> Duration {
+        if ask.is_late() {
+            return LATE_PATIENCE;
+        }
         let prefill = template.prefill_tokens_per_second.time_for(ask.prompt);
         let transfer = template.link_tokens_per_second.time_for(ask.prompt);
         ask.first_token_within.saturating_sub(prefill + transfer).max(MIN_PATIENCE)
@@ -113,7 +141,8 @@
             true => 1.0,
             false => self.bookings.free_part(now, account),
         };
-        let ahead = self.queue.ahead_of(account, waiting.ask.returning) as f64 + 1.0;
+        let late = waiting.ask.is_late();
+        let ahead = self.queue.ahead_of(account, waiting.ask.returning, late) as f64 + 1.0;
         let wait = ahead / (rate * free).max(0.001);
         let patience = waiting.latest_start.saturating_duration_since(now);
         if wait <= patience.as_secs_f64() {
@@ -176,6 +205,8 @@
     ) -> Duration {
         let account = &waiting.ask.account;
         let rate = self.shard_rate(now, template, &waiting.ask) * self.fraction_of(now, account);
+        let due = now + waiting.ask.first_token_within;
+        self.returns.note(now, waiting.ask.fingerprint, due);
         self.bookings.book(now, account, rate)
     }
 
@@ -232,8 +263,12 @@
         waiting: &WaitingAsk,
     ) -> Option<GrantMessage> {
         let ask = &waiting.ask;
-        let pieces = pieces_of(template, ask);
-        let granted = self.pool.place(now, ask, pieces, &self.prefixes)?;
+        let need = self.need_of(template, ask);
+        let granted = self.pool.place(now, ask, need, template, &self.prefixes)?;
+        if template.token_time.is_some() {
+            // An answer grows evenly from nothing, so half of it in the mean.
+            self.estimate.need.add(Tokens(need.prompt.0 + need.answer.0 / 2));
+        }
         if let Some(prefill) = &granted.claim.prefill {
             self.prefixes.record(&ask.prefix, prefill);
         }
@@ -254,9 +289,16 @@
             actions.push(ShardAction::Send(waiting.from, message));
         }
     }
-}
 
-/// Returns the engine memory that a request is charged for: its prompt and longest answer.
-fn pieces_of(template: &ServiceTemplate, ask: &AskMessage) -> Pieces {
-    Tokens(ask.prompt.0.saturating_add(ask.answer.0)).pieces(template.piece_tokens)
+    /// Returns the engine memory that a request is charged for: its prompt, and the longest answer
+    /// or, where memory is forecast over time, the expected one.
+    fn need_of(&self, template: &ServiceTemplate, ask: &AskMessage) -> MemoryNeed {
+        let pieces = |tokens: Tokens| tokens.pieces(template.piece_tokens);
+        if template.token_time.is_none() {
+            let all = pieces(Tokens(ask.prompt.0.saturating_add(ask.answer.0)));
+            return MemoryNeed { answer: Pieces(0), prompt: all };
+        }
+        let answer = self.estimate.answer_length(ask.answer).min(ask.longest);
+        MemoryNeed { answer: pieces(answer), prompt: pieces(ask.prompt) }
+    }
 }
--- a/src/coordination/shard/ledger/claims.rs
+++ b/src/coordination/shard/ledger/claims.rs
@@ -33,10 +33,13 @@
     pub(super) fn release(&mut self, now: Instant, attempt: &AttemptId, outcome: ReleaseOutcome) {
         let Some(held) = self.pool.claim(attempt) else { return };
         let claim = held.claim.clone();
-        let since = held.since;
+        let (since, progress) = (held.since, held.progress);
         match outcome {
             ReleaseOutcome::Finished => {
                 self.estimate.hold.add(now - since);
+                if let Some(progress) = progress.filter(|progress| progress.tokens.0 > 0) {
+                    self.estimate.answer.add(progress.tokens);
+                }
                 self.pool.note_success(&claim.runner);
                 claim.prefill.iter().for_each(|name| self.pool.note_success(name));
             }
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -6,10 +6,13 @@
 
 mod bookings;
 mod estimate;
+mod forecast;
 mod ledger;
 mod pool;
 mod prefixes;
 mod queue;
 mod recovery;
+mod returns;
 
+pub use forecast::{RunForecast, peak};
 pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::messages::{AskMessage, ClaimPhase, GrantMessage, SlotClaim};
 use crate::coordination::shard::estimate::UsableSlots;
+use crate::coordination::shard::forecast::{RunForecast, peak};
 use crate::coordination::shard::prefixes::PrefixMemory;
 use crate::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,16 @@
 const FULL_REST: Duration = Duration::from_millis(100);
 /// How long a backup remembers what its owner has to cancel.
 const ORPHAN_MEMORY: Duration = Duration::from_secs(60);
+/// The part of a worker's memory that forecasts may fill; the rest is for answers that get longer
+/// than forecast.
+const FILLED_PART: f64 = 0.97;
+/// The part that requests may fill whose first token is late already, so that those still in time find
+/// room.
+const LATE_PART: f64 = 0.75;
+/// By how much less distance counts for prefill workers, whose results move in milliseconds.
+const PREFILL_NEARNESS: u64 = 10;
+/// The weight of the newest measurement of a worker's speed.
+const SPEED_WEIGHT: f64 = 0.2;
 /// The load, in thousandths, that an upstream of this failure domain may have before an idle one
 /// of another is chosen.
 const FOREIGN_LOAD: u64 = 400;
@@ -27,12 +38,63 @@
     pub claim: SlotClaim,
     /// When it was granted or first reported.
     pub since: Instant,
+    /// How far the run had come, and when.
+    pub progress: Option<RunProgress>,
     /// The upstreams that have still to confirm a cancel, and when each is asked next.
     pub cancelling: Option<BTreeMap<UpstreamName, Instant>>,
 }
 
+/// How far a run had come at one time.
+#[derive(Clone, Copy, Debug)]
+pub struct RunProgress {
+    /// When.
+    pub at: Instant,
+    /// The tokens that it had produced.
+    pub tokens: Tokens,
+}
+
+/// What a request is expected to hold of an engine's memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemoryNeed {
+    /// For the prompt.
+    pub prompt: Pieces,
+    /// For the answer.
+    pub answer: Pieces,
+}
+
+impl MemoryNeed {
+    /// Returns what it holds at its end.
+    pub fn total(self) -> Pieces {
+        Pieces(self.prompt.0.saturating_add(self.answer.0))
+    }
+}
+
+/// How memory is forecast: the tokens of a piece, and the time that one token takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MemoryPace {
+    /// The tokens that one piece holds.
+    pub piece: Tokens,
+    /// The time for one token.
+    pub token_time: Duration,
+}
+
+impl HeldClaim {
+    fn forecast(&self, now: Instant, pace: MemoryPace, piece_time: Duration) -> RunForecast {
+        let growth = f64::from(self.claim.growth.0);
+        let fixed = f64::from(self.claim.pieces.0) - growth;
+        let produced = self.progress.map_or(0.0, |progress| {
+            let since = now.saturating_duration_since(progress.at).as_secs_f64();
+            let known = f64::from(progress.tokens.0) / f64::from(pace.piece.0.max(1));
+            known + since / piece_time.as_secs_f64().max(1e-9)
+        });
+        RunForecast::new(fixed, produced, growth, piece_time)
+    }
+}
+
 #[derive(Debug)]
 struct PoolWorker {
+    /// How much slower than expected its runs are.
+    slowness: f64,
     failures: u32,
     pieces: u32,
     rest_until: Option<Instant>,
@@ -44,18 +106,22 @@
 
 impl PoolWorker {
     fn new(spec: UpstreamSpec) -> Self {
-        Self { failures: 0, pieces: 0, rest_until: None, slots: 0, spec, suspects: 0, transfers: 0 }
+        Self {
+            slowness: 1.0,
+            failures: 0,
+            pieces: 0,
+            rest_until: None,
+            slots: 0,
+            spec,
+            suspects: 0,
+            transfers: 0,
+        }
     }
 
     fn is_usable(&self, now: Instant) -> bool {
         !self.spec.leaving && self.rest_until.is_none_or(|until| until <= now)
     }
 
-    fn has_room(&self, pieces: Pieces) -> bool {
-        let memory = self.spec.pieces.is_none_or(|all| self.pieces + pieces.0 <= all.0);
-        memory && self.slots < self.spec.slots.0
-    }
-
     fn load(&self) -> u64 {
         u64::from(self.slots) * 1000 / u64::from(self.spec.slots.0)
     }
@@ -80,6 +146,7 @@
     claims: BTreeMap<AttemptId, HeldClaim>,
     held: BTreeMap<AccountName, u32>,
     home: Option<DomainName>,
+    pace: Option<MemoryPace>,
     workers: BTreeMap<UpstreamName, PoolWorker>,
 }
 
@@ -88,9 +155,11 @@
     pub fn configure<'a>(
         &mut self,
         home: &DomainName,
+        pace: Option<MemoryPace>,
         specs: impl Iterator<Item = &'a UpstreamSpec>,
     ) {
         self.home = Some(home.clone());
+        self.pace = pace;
         let mut old = std::mem::take(&mut self.workers);
         for spec in specs {
             let worker = match old.remove(&spec.name) {
@@ -126,12 +195,13 @@
 
     /// Adds a claim or replaces the attempt's earlier one.
     pub fn insert(&mut self, now: Instant, claim: SlotClaim) {
-        let since = match self.remove(&claim.attempt) {
-            Some(old) => old.since,
-            None => now,
-        };
+        let old = self.remove(&claim.attempt);
+        let since = old.as_ref().map_or(now, |old| old.since);
+        let begins = claim.phase == ClaimPhase::Run && claim.growth.0 > 0;
+        let begun = begins.then_some(RunProgress { at: now, tokens: Tokens(0) });
+        let progress = old.and_then(|old| old.progress).or(begun);
         self.count(&claim, true);
-        let held = HeldClaim { claim, since, cancelling: None };
+        let held = HeldClaim { claim, since, progress, cancelling: None };
         self.claims.insert(held.claim.attempt.clone(), held);
     }
 
@@ -240,7 +310,11 @@
         for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
             match worker.spec.role {
                 UpstreamRole::Prefill => slots.prefill += worker.spec.slots.0,
-                UpstreamRole::Decode | UpstreamRole::Plain => slots.run += worker.spec.slots.0,
+                UpstreamRole::Decode | UpstreamRole::Plain => {
+                    slots.run += worker.spec.slots.0;
+                    let pieces = worker.spec.pieces.map(|pieces| u64::from(pieces.0));
+                    slots.pieces = pieces.map(|pieces| slots.pieces.unwrap_or(0) + pieces);
+                }
             }
         }
         slots
@@ -262,12 +336,16 @@
         &self,
         now: Instant,
         ask: &AskMessage,
-        pieces: Pieces,
+        need: MemoryNeed,
+        template: &ServiceTemplate,
         prefixes: &PrefixMemory,
     ) -> Option<GrantMessage> {
-        let runner = self.choose_runner(now, ask, pieces)?;
+        let runner = self.choose_runner(now, ask, need)?;
         let prefill = match self.needs_prefill() && !ask.prefilled {
-            true => Some(self.choose_prefill(now, ask, prefixes)?),
+            true => match self.choose_prefill(now, ask, prefixes) {
+                None if !template.decode_computes => return None,
+                chosen => chosen,
+            },
             false => None,
         };
         let phase = match (prefill.is_some(), ask.prefilled) {
@@ -278,8 +356,9 @@
         let claim = SlotClaim {
             account: ask.account.clone(),
             attempt: ask.attempt.clone(),
+            growth: if self.pace.is_some() { need.answer } else { Pieces(0) },
             phase,
-            pieces,
+            pieces: need.total(),
             prefill: prefill.map(|worker| worker.spec.name.clone()),
             runner: runner.spec.name.clone(),
             suspect: ask.suspect,
@@ -334,10 +413,16 @@
         self.workers.values().filter(|worker| worker.spec.role != UpstreamRole::Prefill)
     }
 
-    fn choose_runner(&self, now: Instant, ask: &AskMessage, pieces: Pieces) -> Option<&PoolWorker> {
+    fn choose_runner(
+        &self,
+        now: Instant,
+        ask: &AskMessage,
+        need: MemoryNeed,
+    ) -> Option<&PoolWorker> {
         let candidates = self.runners().filter(|worker| {
             worker.is_usable(now)
-                && worker.has_room(pieces)
+                && worker.slots < worker.spec.slots.0
+                && self.has_memory(now, worker, need, ask.is_late())
                 && !ask.avoid.contains(&worker.spec.name)
                 && !(ask.suspect && worker.suspects > 0)
         });
@@ -348,6 +433,37 @@
         })
     }
 
+    /// Returns whether a worker has the memory for one more request, now and until it ends.
+    fn has_memory(&self, now: Instant, worker: &PoolWorker, need: MemoryNeed, late: bool) -> bool {
+        let Some(all) = worker.spec.pieces else { return true };
+        let Some(pace) = self.pace else {
+            return worker.pieces + need.total().0 <= all.0;
+        };
+        let piece_time = (pace.token_time * pace.piece.0).mul_f64(worker.slowness);
+        let mut runs: Vec<_> = self
+            .claims
+            .values()
+            .filter(|held| held.claim.runner == worker.spec.name)
+            .map(|held| held.forecast(now, pace, piece_time))
+            .collect();
+        let (prompt, answer) = (f64::from(need.prompt.0), f64::from(need.answer.0));
+        runs.push(RunForecast::new(prompt, 0.0, answer, piece_time));
+        let part = if late { LATE_PART } else { FILLED_PART };
+        peak(&runs) <= f64::from(all.0) * part
+    }
+
+    /// Notes how far a run has come, and learns from it how fast its worker is.
+    pub fn note_progress(&mut self, now: Instant, attempt: &AttemptId, tokens: Tokens) {
+        let Some(pace) = self.pace else { return };
+        let Some(held) = self.claims.get_mut(attempt) else { return };
+        let before = held.progress.replace(RunProgress { at: now, tokens });
+        let Some(before) = before.filter(|before| tokens > before.tokens) else { return };
+        let Some(worker) = self.workers.get_mut(&held.claim.runner) else { return };
+        let expected = pace.token_time * (tokens.0 - before.tokens.0);
+        let seen = (now - before.at).as_secs_f64() / expected.as_secs_f64().max(1e-9);
+        worker.slowness += SPEED_WEIGHT * (seen.clamp(0.2, 20.0) - worker.slowness);
+    }
+
     /// Returns by how much an upstream of another failure domain must be less loaded to be chosen.
     fn distance(&self, worker: &PoolWorker) -> u64 {
         match &self.home {
@@ -369,8 +485,10 @@
                 && !ask.avoid.contains(&worker.spec.name)
         });
         candidates.min_by_key(|worker| {
+            // One prompt more in the queue costs far more than a shared part computed again.
             let hits = prefixes.hits(&ask.prefix, &worker.spec.name);
-            (std::cmp::Reverse(hits), worker.load())
+            let load = worker.load() + self.distance(worker) / PREFILL_NEARNESS;
+            (self.pace.map(|_| load), std::cmp::Reverse(hits), load)
         })
     }
 
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -24,6 +24,7 @@
 /// Orders the asks of one account.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct OrderKey {
+    late: bool,
     fresh: (bool, bool),
     latest_start: Instant,
     sequence: u64,
@@ -40,6 +41,8 @@
     /// How many of the waiting asks resume or come back.
     first_class: usize,
     held: u32,
+    /// How many of the waiting asks are late already.
+    late: usize,
     share: f64,
     waiting: BTreeMap<OrderKey, WaitingAsk>,
 }
@@ -65,6 +68,7 @@
     pub fn push(&mut self, waiting: WaitingAsk, grant: &AccountGrant) {
         self.sequence += 1;
         let key = OrderKey {
+            late: waiting.ask.is_late(),
             fresh: (!waiting.ask.resuming, !waiting.ask.returning),
             latest_start: waiting.latest_start,
             sequence: self.sequence,
@@ -76,6 +80,7 @@
         self.update(&name, |queue| {
             queue.share = grant.share;
             queue.first_class += usize::from(key.is_first_class());
+            queue.late += usize::from(key.late);
             queue.waiting.insert(key, waiting);
         });
     }
@@ -87,6 +92,7 @@
         self.update(&name, |queue| {
             removed = queue.waiting.remove(&key);
             queue.first_class -= usize::from(removed.is_some() && key.is_first_class());
+            queue.late -= usize::from(removed.is_some() && key.late);
         });
         if let Some(waiting) = &removed {
             self.expiry.remove(&(waiting.latest_start, attempt.clone()));
@@ -145,9 +151,13 @@
     }
 
     /// Returns how many asks of an account go before a new one.
-    pub fn ahead_of(&self, name: &AccountName, returning: bool) -> usize {
+    pub fn ahead_of(&self, name: &AccountName, returning: bool, late: bool) -> usize {
         let Some(queue) = self.accounts.get(name) else { return 0 };
-        if returning { queue.first_class } else { queue.waiting.len() }
+        match (returning, late) {
+            (true, _) => queue.first_class,
+            (false, true) => queue.waiting.len(),
+            (false, false) => queue.waiting.len() - queue.late,
+        }
     }
 
     /// Returns the accounts that wait.
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -5,7 +5,7 @@
 };
 use crate::state::units::{Pieces, Slots, TokenRate, Tokens};
 use serde::{Deserialize, Serialize};
-use serde_with::{DisplayFromStr, DurationMilliSeconds, serde_as};
+use serde_with::{DisplayFromStr, DurationMilliSeconds, DurationMilliSecondsWithFrac, serde_as};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -153,6 +153,9 @@
     #[serde(default, rename = "between_token_target_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub between_token_target: Duration,
+    /// Whether decode workers compute prompts themselves when no prefill worker can.
+    #[serde(default)]
+    pub decode_computes: bool,
     /// The longest time that a request may take, in milliseconds.
     #[serde(rename = "deadline_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -177,6 +180,10 @@
     /// Who places its requests.
     #[serde(default)]
     pub placement: PlacementScope,
+    /// Whether every failure domain's owner uses the prefill workers of all. They hold no memory for
+    /// long, so that no exact account is needed, and there may be fewer of them than failure domains.
+    #[serde(default)]
+    pub shared_prefill: bool,
     /// The tokens that one piece of engine memory holds.
     #[serde(default = "default_piece")]
     pub piece_tokens: Tokens,
@@ -189,6 +196,11 @@
     pub retry_window: Duration,
     /// The service's name.
     pub service: ServiceName,
+    /// The time that an engine takes for one token, in milliseconds. With it, engine memory is forecast
+    /// over time; without it, each request reserves all that it may need.
+    #[serde(default, rename = "token_time_ms")]
+    #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
+    pub token_time: Option<Duration>,
     /// The upstreams.
     #[serde(default, rename = "upstream")]
     pub upstreams: Vec<UpstreamSpec>,
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -78,7 +78,7 @@
     ) -> Result<(ChannelAnswer, AnswerHead), UpstreamLoss> {
         let now = self.gateway.node.clock.now();
         // It may have begun to leave while the request waited for its turn.
-        if !lock(&self.gateway.registry).takes_work(&site.upstream) {
+        if !lock(&self.gateway.registry).takes_work(now, &site.upstream) {
             return Err(UpstreamLoss::NothingSent);
         }
         let left = site.deadline.saturating_duration_since(now);
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -33,6 +33,8 @@
 const ANSWER_TRAVEL: Duration = Duration::from_millis(20);
 /// How long a caller that does not say is expected to wait.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// How often a shard's owner hears how far a run has come: a run takes some seconds.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
 /// How long a stream may be silent before its upstream counts as lost: callers leave soon after.
 const STREAM_STALL: Duration = Duration::from_millis(1_500);
 /// When to come back to a daemon that knows no configuration yet.
@@ -284,9 +286,16 @@
     let InboundHead { prompt, resume_after, .. } = &inbound.head;
     let shape = prompt.as_ref();
     let length = shape.map_or(Tokens(0), |shape| shape.prompt);
-    let answer = shape.map_or(Tokens(0), |shape| shape.hint.unwrap_or(shape.answer));
+    let longest = shape.map_or(Tokens(0), |shape| shape.answer);
+    let answer = shape.and_then(|shape| shape.hint).unwrap_or(longest).min(longest);
     let path = inbound.target.path().as_bytes();
-    let fingerprint = Fingerprint::of(&[service.as_str().as_bytes(), path, &inbound.body]);
+    let own_part = shape.and_then(|shape| shape.prefix.last()).copied().unwrap_or_default();
+    let fingerprint = Fingerprint::of(&[
+        service.as_str().as_bytes(),
+        path,
+        &own_part.to_le_bytes(),
+        &inbound.body,
+    ]);
     let retries = gateway.retry_budget(service);
     retries.note_request(accepted);
     Some(RequestSpec {
@@ -301,10 +310,12 @@
         first_index: *resume_after,
         first_token_due: accepted + rule.latency_target,
         id: node.next_request(),
+        longest,
         link_time: template.link_tokens_per_second.time_for(length),
         owed: !rule.kind.is_stream() && !rule.kind.is_repeatable(),
         prefill_time: template.prefill_tokens_per_second.time_for(length),
         prefix: shape.map(|shape| shape.prefix.clone()).unwrap_or_default(),
+        progress_period: rule.kind.is_stream().then_some(PROGRESS_PERIOD),
         prompt: length,
         repeatable: rule.kind.is_repeatable(),
         retries,
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -277,7 +277,7 @@
         if slot.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!(ready; "daemon: readiness");
         }
-        gateway.channels.prune(|name| lock(&gateway.registry).takes_work(name));
+        gateway.channels.prune(|name| lock(&gateway.registry).takes_work(now, name));
         let hosts = gateway.host_count();
         lock(&gateway.retries).values().for_each(|budget| budget.set_hosts(hosts));
         let pause = if ready { PRUNE_PERIOD } else { PRUNE_PERIOD / 10 };
@@ -357,6 +357,7 @@
         adapters: None,
         between_token_target: if engine.is_some() { TOKEN_TIME } else { Duration::ZERO },
         deadline: Duration::MAX,
+        decode_computes: engine.is_some(),
         eviction: engine.map_or(Duration::ZERO, |engine| engine.eviction),
         first_token_target: Duration::MAX,
         link_tokens_per_second: rate(|engine| engine.link),
@@ -367,6 +368,8 @@
         prefill_tokens_per_second: rate(|_| PREFILL_RATE),
         retry_window: Duration::ZERO,
         service: name.clone(),
+        shared_prefill: true,
+        token_time: engine.map(|_| TOKEN_TIME),
         upstreams: upstreams.collect(),
     }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -240,7 +240,9 @@
                     self.tell_daemon(&from, message);
                 }
             }
-            ShardMessage::Queued(ref attempt) | ShardMessage::Refuse(ref attempt, _) => {
+            ShardMessage::Overdue(ref attempt, _)
+            | ShardMessage::Queued(ref attempt)
+            | ShardMessage::Refuse(ref attempt, _) => {
                 let attempt = attempt.clone();
                 self.send_flow(&attempt, FlowEvent::Owner(domain, message));
             }
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -1,7 +1,9 @@
 //! Drives one request: feeds its flow with events and carries out the flow's actions.
 
 use crate::coordination::flow::{FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec};
-use crate::coordination::messages::{ClaimPhase, PeerMessage, ReleaseOutcome, SlotClaim};
+use crate::coordination::messages::{
+    ClaimPhase, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+};
 use crate::coordination::tickets::StoredAnswer;
 use crate::prelude::*;
 use crate::transport::claims::release;
@@ -167,6 +169,10 @@
             }
             FlowAction::Claim(domain, claim) => self.claim(&domain, claim),
             FlowAction::Advance(domain, attempt, phase) => self.advance(&domain, attempt, phase),
+            FlowAction::Progress(domain, attempt, tokens) => {
+                let message = ShardMessage::Progress(attempt, tokens);
+                self.node.tell_owner(&self.service, &domain, message);
+            }
             FlowAction::Release(domain, attempt, outcome) => {
                 release(&self.node, &self.service, &domain, attempt, outcome);
             }
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -32,6 +32,7 @@
     SlotClaim {
         account: "account-1234".parse().expect("a name"),
         attempt: attempt(sequence),
+        growth: Pieces(0),
         phase: ClaimPhase::Run,
         pieces: Pieces(3),
         prefill: Some("model-07-prefill-1".parse().expect("a name")),
@@ -49,6 +50,9 @@
 pub fn ask(sequence: u64, account: &str) -> AskMessage {
     AskMessage {
         account: account.parse().expect("a name"),
+        at_once: false,
+        fingerprint: Fingerprint::of(&[&sequence.to_le_bytes()]),
+        longest: Tokens(u32::MAX),
         answer: Tokens(467),
         attempt: attempt(sequence),
         avoid: Vec::new(),
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -135,6 +135,9 @@
         non_idempotent: Vec::new(),
         piece_tokens: Tokens(2_000),
         placement: PlacementScope::default(),
+        decode_computes: false,
+        shared_prefill: false,
+        token_time: None,
         prefill_tokens_per_second: TokenRate(mix.prefill_rate),
         retry_window: Duration::from_secs(600),
         service: "llm".parse().expect("a valid name"),
@@ -254,8 +257,10 @@
             prefill_time: seconds(arrival.prompt, self.mix.prefill_rate),
             prefix: Vec::new(),
             prompt: Tokens(arrival.prompt),
+            longest: Tokens(arrival.answer),
             owed: false,
             repeatable: true,
+            progress_period: None,
             retries: Arc::new(UnlimitedRetries),
             returning,
             run_limit: u32::MAX,
@@ -335,6 +340,9 @@
                 self.tell(now, ShardMessage::Claim(claim));
             }
             FlowAction::Advance(_, attempt, phase) => self.advance(now, &attempt, phase),
+            FlowAction::Progress(_, attempt, tokens) => {
+                self.tell(now, ShardMessage::Progress(attempt, tokens));
+            }
             FlowAction::Release(_, attempt, outcome) => {
                 self.tell(now, ShardMessage::Release(attempt, outcome));
             }
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -48,8 +48,10 @@
             prefill_time: MILLI * 100,
             prefix: Vec::new(),
             prompt: Tokens(1_000),
+            longest: Tokens(100),
             owed: false,
             repeatable: true,
+            progress_period: None,
             retries: Arc::new(UnlimitedRetries),
             returning: false,
             run_limit: u32::MAX,
@@ -111,6 +113,7 @@
         claim: SlotClaim {
             account: "desk".parse().expect("a name"),
             attempt: attempt(number),
+            growth: Pieces(0),
             phase,
             pieces: Pieces(1),
             prefill,
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,103 @@
+//! Upstreams as they register themselves, through outages of the store.
+
+use apricotrun::coordination::registry::{
+    RegistryChange, RegistryEvent, UpstreamRecord, UpstreamRegistry,
+};
+use apricotrun::prelude::*;
+use std::collections::BTreeMap;
+
+const MILLI: Duration = Duration::from_millis(1);
+
+fn name(text: &str) -> UpstreamName {
+    text.parse().expect("a name")
+}
+
+fn record(leaving: bool) -> UpstreamRecord {
+    UpstreamRecord {
+        address: "127.0.0.1:8080".parse().expect("an address"),
+        domain: "tyrol-a".parse().expect("a name"),
+        leaving,
+        life: Incarnation(1),
+        role: UpstreamRole::Plain,
+        service: "rental".parse().expect("a name"),
+        slots: Slots(6),
+    }
+}
+
+fn registry(now: Instant) -> UpstreamRegistry {
+    let mut registry = UpstreamRegistry::default();
+    let all = ["a", "b"].map(|text| (name(text), record(false)));
+    registry.handle(now, RegistryEvent::Listed(BTreeMap::from(all)));
+    registry
+}
+
+#[test]
+fn removed_record_is_gone_at_once_while_the_store_answers() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let changes = registry.handle(now, RegistryEvent::Removed(name("a")));
+    assert_eq!(changes, [RegistryChange::Gone(name("a"))]);
+    assert!(!registry.takes_work(now, &name("a")));
+    assert!(registry.takes_work(now, &name("b")));
+}
+
+#[test]
+fn record_that_lapsed_during_an_outage_is_used_until_it_would_have_returned() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.handle(now, RegistryEvent::StoreLost);
+    registry.handle(now, RegistryEvent::StoreBack);
+    registry.handle(now + MILLI * 300, RegistryEvent::Removed(name("a")));
+    assert!(registry.takes_work(now + MILLI * 1_999, &name("a")));
+    assert!(!registry.takes_work(now + MILLI * 2_000, &name("a")));
+    let changes = registry.handle(now + MILLI * 2_000, RegistryEvent::Tick);
+    assert_eq!(changes, [RegistryChange::Gone(name("a"))]);
+}
+
+#[test]
+fn lapsed_record_that_returns_stays() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.handle(now, RegistryEvent::StoreLost);
+    registry.handle(now, RegistryEvent::StoreBack);
+    registry.handle(now, RegistryEvent::Removed(name("a")));
+    registry.handle(now + MILLI * 900, RegistryEvent::Written(name("a"), record(false)));
+    registry.handle(now + MILLI * 5_000, RegistryEvent::Tick);
+    assert!(registry.takes_work(now + MILLI * 5_000, &name("a")));
+}
+
+/// An upstream left 2.5 s after the store's return; taken for a lapse, it was still used 2.03 s
+/// after the store had confirmed its leaving (tariq-roads, scale-2).
+#[test]
+fn record_removed_well_after_an_outage_is_gone_at_once() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.handle(now, RegistryEvent::StoreLost);
+    registry.handle(now, RegistryEvent::StoreBack);
+    let later = now + MILLI * 2_500;
+    registry.handle(later, RegistryEvent::Removed(name("a")));
+    assert!(!registry.takes_work(later, &name("a")));
+}
+
+#[test]
+fn leaving_upstream_that_lapses_does_not_return() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.handle(now, RegistryEvent::Written(name("a"), record(true)));
+    assert!(!registry.takes_work(now, &name("a")));
+    registry.handle(now, RegistryEvent::StoreLost);
+    registry.handle(now, RegistryEvent::StoreBack);
+    let changes = registry.handle(now, RegistryEvent::Removed(name("a")));
+    assert_eq!(changes, [RegistryChange::Gone(name("a"))]);
+}
+
+#[test]
+fn list_after_an_outage_counts_as_the_outages_doing() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.handle(now, RegistryEvent::StoreLost);
+    registry.handle(now, RegistryEvent::StoreBack);
+    let left = BTreeMap::from([(name("b"), record(false))]);
+    let changes = registry.handle(now, RegistryEvent::Listed(left));
+    assert_eq!(changes, [RegistryChange::Lapsed(name("a"))]);
+}
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -133,6 +133,9 @@
         non_idempotent: Vec::new(),
         piece_tokens: Tokens(2_000),
         placement: PlacementScope::default(),
+        decode_computes: false,
+        shared_prefill: false,
+        token_time: None,
         prefill_tokens_per_second: TokenRate(10_000.0),
         retry_window: Duration::from_secs(600),
         service: "llm".parse().expect("a name"),
@@ -246,8 +249,10 @@
             prefill_time: Duration::from_millis(100),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
+            longest: Tokens(ANSWER),
             owed: !repeatable,
             repeatable,
+            progress_period: None,
             retries: Arc::new(UnlimitedRetries),
             returning: false,
             run_limit: u32::MAX,
@@ -277,6 +282,7 @@
     fn carry_out(&mut self, id: &RequestId, action: FlowAction) {
         let entry = self.entry_of(id);
         match action {
+            FlowAction::Progress(..) => {}
             FlowAction::Tell(_, message) => {
                 let owner = usize::from(self.roles[0] != ShardRole::Owner);
                 self.send(true, entry, owner, message);
--- a/tests/shard.rs
+++ b/tests/shard.rs
@@ -75,6 +75,9 @@
             non_idempotent: Vec::new(),
             piece_tokens: Tokens(2_000),
             placement: PlacementScope::default(),
+            decode_computes: false,
+            shared_prefill: false,
+            token_time: None,
             prefill_tokens_per_second: TokenRate(10_000.0),
             retry_window: SECOND * 600,
             service: "llm".parse().expect("a name"),
@@ -135,6 +138,9 @@
 fn ask_of(entry: &str, sequence: u64, name: &str) -> AskMessage {
     AskMessage {
         account: account(name),
+        at_once: false,
+        fingerprint: Fingerprint::of(&[&sequence.to_le_bytes()]),
+        longest: Tokens(u32::MAX),
         answer: Tokens(100),
         attempt: attempt(entry, sequence),
         avoid: Vec::new(),
@@ -152,6 +158,7 @@
     SlotClaim {
         account: account("desk"),
         attempt: attempt(entry, 1),
+        growth: Pieces(0),
         phase: ClaimPhase::Run,
         pieces: Pieces(1),
         prefill: None,
