Make a crashed stand-in engine silent

A prefill that should have been lost came back now and then, so the decode worker crashed within the same attempt and a third engine was lost. Ruled out: late news of the count and a wrong weight; the entry saw one loss only.

The crash now answers nothing more. crashed_engine_answers_nothing fails before (the prefill succeeds) and passes after.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -368,7 +368,7 @@
         }
     }
 
-    fn take_slot(&self, id: &str, prompt: &str) -> Result<SlotGuard, (Status, String)> {
+    fn take_slot(&self, id: &str) -> Result<SlotGuard, (Status, String)> {
         let mut state = self.state();
         if state.cancelled.contains(id) {
             state.report.late_starts += 1;
@@ -377,17 +377,24 @@
         if state.running.len() >= self.config.slots {
             return Err((Status::TooManyRequests, "no slot is free".to_owned()));
         }
-        if state.faults.crash_on.as_ref().is_some_and(|text| prompt.contains(text)) {
-            self.kill.kill();
-        }
         state.running.insert(id.to_owned(), Running { task: None });
         state.report.started += 1;
         state.report.peak = state.report.peak.max(state.running.len());
         Ok(SlotGuard { engine: self.clone(), id: id.to_owned() })
     }
 
+    fn crashes_on(&self, prompt: &str) -> bool {
+        let state = self.state();
+        state.faults.crash_on.as_ref().is_some_and(|text| prompt.contains(text))
+    }
+
     async fn serve(&self, id: String, prompt: String, body: Value, chat: bool) -> EngineAnswer {
-        let guard = self.take_slot(&id, &prompt)?;
+        let guard = self.take_slot(&id)?;
+        if self.crashes_on(&prompt) {
+            // What has crashed answers nothing more, however long its process takes to go.
+            self.kill.kill();
+            std::future::pending::<()>().await;
+        }
         let transfer = &body["kv_transfer_params"];
         if transfer["do_remote_decode"] == json!(true) {
             return self.prefill(guard, prompt).await;
