--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -222,7 +222,9 @@
 
     fn wait_at_home(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         self.domain = 0;
-        let round = AskRound::Waiting { looked: 0, look_at: now + SPILL_PERIOD };
+        let alone = self.spec.domains.len() == 1;
+        let look_at = if alone { self.spec.deadline } else { now + SPILL_PERIOD };
+        let round = AskRound::Waiting { looked: 0, look_at };
         let next = now + ASK_RETRY;
         self.stage = FlowStage::Asking { first: now, heard: false, next, round };
         self.send_ask(now, self.domain, false, out);
@@ -395,12 +397,9 @@
                 if *look_at <= now =>
             {
                 *look_at = now + SPILL_PERIOD;
-                let others = self.spec.domains.len() - 1;
-                if others > 0 {
-                    *looked = *looked % others + 1;
-                    let domain = *looked;
-                    self.send_ask(now, domain, true, out);
-                }
+                *looked = *looked % (self.spec.domains.len() - 1) + 1;
+                let domain = *looked;
+                self.send_ask(now, domain, true, out);
             }
             FlowStage::Asking { next, .. } if *next > now => {}
             FlowStage::Asking { round: AskRound::Looking, .. } => self.look_on(now, out),
--- /dev/null
+++ b/tests/routes.rs
@@ -0,0 +1,65 @@
+//! Routes by host and prefix, and revisions that only grow.
+
+use apricotrun::prelude::*;
+use apricotrun::state::routes::{
+    CallerLimits, RouteKeeper, RouteKind, RouteRule, RouteTable, RouteTarget,
+};
+use std::collections::BTreeMap;
+
+fn rule(name: &str, targets: &[(&str, u32)]) -> RouteRule {
+    let target = |(service, weight): &(&str, u32)| RouteTarget {
+        service: service.parse().expect("a name"),
+        weight: *weight,
+    };
+    RouteRule {
+        gap_target: None,
+        kind: RouteKind::Idempotent,
+        latency_target: Duration::from_millis(150),
+        name: name.to_owned(),
+        priority: 0,
+        run_limit: 1,
+        targets: targets.iter().map(target).collect(),
+        timeout: Duration::from_secs(1),
+    }
+}
+
+fn table(revision: u64) -> RouteTable {
+    let mut table = RouteTable::new(Revision(revision), BTreeMap::new(), CallerLimits::default());
+    table.insert("desk.example", "/a/", rule("short", &[("app", 1)]));
+    table.insert("desk.example", "/a/b/", rule("long", &[("app", 1)]));
+    table
+}
+
+fn found(path: &str) -> Option<String> {
+    table(1).find("Desk.Example:8080", path).map(|rule| rule.name.clone())
+}
+
+#[test]
+fn longest_prefix_wins() {
+    assert_eq!(found("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found("/a/b/").as_deref(), Some("long"));
+    assert_eq!(found("/a/b").as_deref(), Some("short"), "a prefix ends with its slash");
+    assert_eq!(found("/a/bc/d").as_deref(), Some("short"));
+    assert_eq!(found("/b/"), None);
+    assert_eq!(table(1).find("other.example", "/a/").map(|rule| rule.name.clone()), None);
+}
+
+#[test]
+fn requests_are_split_by_weight() {
+    let rule = rule("split", &[("old", 90), ("new", 10), ("none", 0)]);
+    let picked = |draw: f64| rule.pick(draw).map(ServiceName::as_str);
+    assert_eq!(picked(0.0), Some("old"));
+    assert_eq!(picked(0.899), Some("old"));
+    assert_eq!(picked(0.901), Some("new"));
+    assert_eq!(picked(0.999_999), Some("new"));
+}
+
+#[test]
+fn older_table_never_comes_back() {
+    let mut keeper = RouteKeeper::default();
+    assert!(keeper.offer(table(7)));
+    assert!(!keeper.offer(table(7)), "the same again");
+    assert!(!keeper.offer(table(5)));
+    assert!(keeper.offer(table(12)));
+    assert_eq!(keeper.current().map(|table| table.revision), Some(Revision(12)));
+}
