Log each decision about a request, serve metrics, follow the store at half its bound

Logs: one line a decision (accepted, granted, first token, an upstream failed, caller left, answered or not), bounded by a rate a kind with the count of what was left out, written by a thread of its own so that a reader that stops holds up no request.

Found by the new tests through the real program: a connection that came while the daemon was stopping was closed unread; two upstreams that had just declined left nobody to try for 100 ms; a stream that went on after a failure kept the failure's status.

The pace of following the store is 45% of the time in which news must be in force (0.9 s here, 0.6 s before), for fewer calls.

--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -11,8 +11,8 @@
 /// How long after the store's return a record that lapsed during the outage may take to return, as
 /// the platform states it.
 const RETURN_TIME: Duration = Duration::from_secs(2);
-/// For how long after the store's return a disappearance is still the outage's doing: two of the
-/// paces at which the store is followed.
+/// For how long after the store's return a disappearance is still the outage's doing: about the
+/// pace at which the store is followed.
 const OUTAGE_ECHO: Duration = Duration::from_millis(1_200);
 
 /// One upstream as it describes itself.
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -87,7 +87,7 @@
         let usable = self.pool.usable(now);
         let needs_prefill = self.pool.needs_prefill() && !template.decode_computes;
         let lacks_prefill = needs_prefill && usable.prefill == 0;
-        if usable.run == 0 || lacks_prefill {
+        if !self.pool.has_runners() || lacks_prefill {
             let refusal = Refusal::not_run(RefusalReason::NoUpstream);
             return Err(refusal.after(NO_UPSTREAM_WAIT));
         }
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -122,6 +122,12 @@
         !self.spec.leaving && self.rest_until.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether it may be tried although it rests, because no other is left: one request at
+    /// a time.
+    fn is_last_resort(&self) -> bool {
+        !self.spec.leaving && self.slots == 0
+    }
+
     fn load(&self) -> u64 {
         u64::from(self.slots) * 1000 / u64::from(self.spec.slots.0)
     }
@@ -320,6 +326,11 @@
         slots
     }
 
+    /// Returns whether any upstream is there to be tried, at rest or not.
+    pub fn has_runners(&self) -> bool {
+        self.runners().any(|worker| !worker.spec.leaving)
+    }
+
     /// Returns whether the shard computes prompts on upstreams of their own.
     pub fn needs_prefill(&self) -> bool {
         self.workers.values().any(|worker| worker.spec.role == UpstreamRole::Prefill)
@@ -426,6 +437,24 @@
                 && !ask.avoid.contains(&worker.spec.name)
                 && !(ask.suspect && worker.suspects > 0)
         });
+        let chosen = self.least_loaded(candidates, ask);
+        chosen.or_else(|| {
+            let resting = self.runners().filter(|worker| {
+                !worker.is_usable(now)
+                    && worker.is_last_resort()
+                    && !ask.avoid.contains(&worker.spec.name)
+            });
+            let any_usable = self.runners().any(|worker| worker.is_usable(now));
+            let soonest = resting.min_by_key(|worker| worker.rest_until);
+            soonest.filter(|_| !any_usable && !ask.suspect)
+        })
+    }
+
+    fn least_loaded<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a PoolWorker>,
+        ask: &AskMessage,
+    ) -> Option<&'a PoolWorker> {
         // A suspect goes where the fewest others run; all else spreads transfers, then load.
         candidates.min_by_key(|worker| {
             let others = if ask.suspect { worker.slots } else { 0 };
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -8,6 +8,7 @@
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::transport::claims::ClaimTable;
+use crate::transport::decisions::DecisionLog;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::CliResult;
 use crate::transport::links::PeerLinks;
@@ -56,6 +57,7 @@
         blocked: Mutex::new(BTreeSet::new()),
         cancels: parts.cancels,
         claims: Mutex::new(ClaimTable::default()),
+        decisions: DecisionLog::new(clock.clone()),
         clock,
         config: Mutex::new(ConfigKeeper::default()),
         crashes: Mutex::new(CrashLedger::default()),
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -17,9 +17,10 @@
 /// How long one watch waits for news. A connection that went silent without a reset delays
 /// news by no more than this and the call's own limit.
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-/// The least time between two watches: upstreams write several times a second, and every answer
-/// is a call that the platform counts.
-const WATCH_PACE: Duration = Duration::from_millis(600);
+/// The part of the time in which news must be in force that passes between two watches. Upstreams
+/// write several times a second, and every answer is a call that the platform counts; the rest is
+/// for a slow answer and a second try.
+const PACE_PART: f64 = 0.45;
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls; routes must be in force within two seconds of a return.
@@ -153,7 +154,8 @@
                 pause.reset();
                 gateway.take_changes(changes);
                 let passed = gateway.node.clock.now() - began;
-                tokio::time::sleep(WATCH_PACE.saturating_sub(passed)).await;
+                let pace = gateway.news_limit.mul_f64(PACE_PART);
+                tokio::time::sleep(pace.saturating_sub(passed)).await;
             }
             Err(error) => {
                 counter!("apricotrun_store_failures_total").increment(1);
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -154,8 +154,14 @@
         let attempt = &order.site.context.attempt;
         let marked = attempt.to_string();
         let (reply, mut body, channel) = split(answer);
-        // A stream that goes on at another upstream keeps the headers of the first.
-        lock(&self.reply).get_or_insert(reply);
+        {
+            // A stream that goes on at another upstream keeps the headers of the first; a failure
+            // that was passed over is no answer.
+            let mut kept = lock(&self.reply);
+            if kept.as_ref().is_none_or(|kept| kept.status != StatusCode::OK) {
+                *kept = Some(reply);
+            }
+        }
         let mut cutter = EventCutter::default();
         let mut last = order.from;
         while let Some(frame) = body.frame().await {
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -3,10 +3,11 @@
 use crate::coordination::flow::RequestSpec;
 use crate::prelude::*;
 use crate::state::routes::{RouteRule, RouteTable};
+use crate::transport::decisions::DecisionKind;
 use crate::transport::gateway::dialect::InboundHead;
 use crate::transport::gateway::forward::{ForwardWork, InboundRequest, UpstreamReply};
 use crate::transport::gateway::reply::{
-    ReplyBody, drop_connection_headers, lost, plain, refuse, status_of,
+    AnswerEnd, ReplyBody, drop_connection_headers, lost, plain, refuse, status_of,
 };
 use crate::transport::gateway::start::{Gateway, GatewaySlot};
 use crate::transport::node::lock;
@@ -21,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::{counter, gauge};
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -29,6 +31,9 @@
 
 /// How long after a failure to accept the next connection is awaited.
 const ACCEPT_REST: Duration = Duration::from_millis(50);
+/// How long sent bytes may stay unacknowledged before a caller's connection counts as dead: callers
+/// leave a silent stream after some seconds.
+const DEAD_CALLER: Duration = Duration::from_secs(5);
 /// How much of a caller's time is kept back for the way of the answer.
 const ANSWER_TRAVEL: Duration = Duration::from_millis(20);
 /// How long a caller that does not say is expected to wait.
@@ -56,7 +61,10 @@
 }
 
 async fn serve_connection(slot: Arc<GatewaySlot>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
+    let prepared = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(DEAD_CALLER)));
+    if let Err(error) = prepared {
         return log::debug!("entry: a connection closed at once: {error}");
     }
     let mut stopping = slot.stopping.subscribe();
@@ -75,9 +83,11 @@
         .keep_alive(!*stopping.borrow())
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // What the balancer still sends to a daemon that stops is served, one request a connection.
+    let late = *stopping.borrow();
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        () = wait_for(&mut stopping) => {
+        () = wait_for(&mut stopping), if !late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -131,13 +141,17 @@
     let accepted = gateway.node.clock.now();
     let (parts, body) = request.into_parts();
     let Some(rule) = find_route(&routes, &parts) else {
-        log::info!(path = parts.uri.path(), revision = routes.revision.0; "entry: no route");
+        if gateway.node.decisions.takes(DecisionKind::Unserved) {
+            log::info!(path = parts.uri.path(), revision = routes.revision.0; "entry: no route");
+        }
         return plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
     let head = match gateway.dialect.read_request(&parts) {
         Ok(head) => head,
         Err(fault) => {
-            log::info!(route = rule.name.as_str(); "entry: refused a request: {fault}");
+            if gateway.node.decisions.takes(DecisionKind::Unserved) {
+                log::info!(route = rule.name.as_str(); "entry: malformed: {fault}");
+            }
             return plain(StatusCode::BAD_REQUEST, &fault.to_string());
         }
     };
@@ -201,21 +215,36 @@
     let spec = build_spec(&gateway, routes, &rule, &service, &inbound, accepted, deadline);
     let Some(spec) = spec else { return refuse(&no_upstream) };
     let id = spec.id.clone();
-    log::info!(
-        request = label.as_str(), id:% = id, route = rule.name.as_str(), service:% = service,
-        revision = routes.revision.0, prompt = spec.prompt.0, answer = spec.answer.0,
-        left_ms = (deadline - accepted).as_millis() as u64;
-        "entry: accepted"
-    );
+    let accepts = gateway.node.decisions.takes(DecisionKind::Accepted);
+    if accepts {
+        log::info!(
+            request = label.as_str(), id:% = id, route = rule.name.as_str(), service:% = service,
+            revision = routes.revision.0, prompt = spec.prompt.0, answer = spec.answer.0,
+            left_ms = (deadline - accepted).as_millis() as u64;
+            "entry: accepted"
+        );
+    }
     let work = Arc::new(ForwardWork::new(gateway.clone(), rule.kind, inbound));
-    let mut parts = start_request(&gateway.node, service, spec, work.clone(), Box::new(NoTrace));
-    let clock = gateway.node.clock.clone();
-    let ended = move |outcome: Result<(), Refusal>| {
-        let took = (clock.now() - accepted).as_millis() as u64;
+    let mut parts =
+        start_request(&gateway.node, service, &label, spec, work.clone(), Box::new(NoTrace));
+    let node = gateway.node.clone();
+    let ended = move |end: AnswerEnd| {
+        let took = (node.clock.now() - accepted).as_millis() as u64;
         let _guard = guard;
-        match outcome {
-            Ok(()) => log::info!(request = label.as_str(), took_ms = took; "entry: answered"),
-            Err(refusal) => log::info!(
+        let kind = match end {
+            AnswerEnd::Whole => DecisionKind::Answered,
+            AnswerEnd::Refused(_) => DecisionKind::Refused,
+            AnswerEnd::CallerLeft => DecisionKind::CallerLeft,
+        };
+        match end {
+            _ if !node.decisions.takes(kind) => {}
+            AnswerEnd::CallerLeft => {
+                log::info!(request = label.as_str(), took_ms = took; "entry: the caller left");
+            }
+            AnswerEnd::Whole => {
+                log::info!(request = label.as_str(), took_ms = took; "entry: answered")
+            }
+            AnswerEnd::Refused(refusal) => log::info!(
                 request = label.as_str(), took_ms = took, status = status_of(&refusal).as_u16(),
                 reason:? = refusal.reason, verdict:% = refusal.verdict,
                 come_back_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
@@ -232,7 +261,7 @@
                 return respond(work.reply(), body);
             }
             Some(CallerPart::Finished) => {
-                ended(Ok(()));
+                ended(AnswerEnd::Whole);
                 return whole_reply(work.reply());
             }
             Some(CallerPart::Refused(refusal)) => {
@@ -240,17 +269,17 @@
                 return match reply.filter(|reply| reply.status.is_server_error()) {
                     // The upstream's own failure says more than this daemon could.
                     Some(reply) => {
-                        ended(Ok(()));
+                        ended(AnswerEnd::Whole);
                         whole_reply(Some(reply))
                     }
                     None => {
-                        ended(Err(refusal));
+                        ended(AnswerEnd::Refused(refusal));
                         refuse(&refusal)
                     }
                 };
             }
             None => {
-                ended(Err(lost()));
+                ended(AnswerEnd::Refused(lost()));
                 return refuse(&lost());
             }
         }
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -21,8 +21,19 @@
 #[error("the answer ended before its last event")]
 pub struct CutStream;
 
-/// Called once when a stream has ended, with whether it is whole.
-pub type EndHook = Box<dyn FnOnce(Result<(), Refusal>) + Send>;
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerEnd {
+    /// The caller has left, or no byte reaches it any more.
+    CallerLeft,
+    /// It was refused or cut.
+    Refused(Refusal),
+    /// It was passed on whole.
+    Whole,
+}
+
+/// Called once when an answer has ended.
+pub type EndHook = Box<dyn FnOnce(AnswerEnd) + Send>;
 
 /// The body of an answer.
 pub enum ReplyBody {
@@ -32,7 +43,7 @@
     Events {
         /// The first event, which has already come.
         first: Option<String>,
-        /// Called once when the stream has ended, with whether it is whole.
+        /// Called once when the stream has ended.
         ended: Option<EndHook>,
         /// The others.
         parts: Receiver<CallerPart>,
@@ -46,6 +57,16 @@
     }
 }
 
+impl Drop for ReplyBody {
+    fn drop(&mut self) {
+        if let Self::Events { ended, .. } = self
+            && let Some(ended) = ended.take()
+        {
+            ended(AnswerEnd::CallerLeft);
+        }
+    }
+}
+
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = CutStream;
@@ -89,19 +110,19 @@
 ) -> Poll<Option<Result<Frame<Bytes>, CutStream>>> {
     loop {
         let part = std::task::ready!(parts.poll_recv(context));
-        let outcome = match part {
+        let end = match part {
             Some(CallerPart::Text(text)) => {
                 return Poll::Ready(Some(Ok(Frame::data(text.into()))));
             }
             Some(CallerPart::Opened | CallerPart::Answer(_)) => continue,
-            Some(CallerPart::Finished) => Ok(()),
-            Some(CallerPart::Refused(refusal)) => Err(refusal),
-            None => Err(lost()),
+            Some(CallerPart::Finished) => AnswerEnd::Whole,
+            Some(CallerPart::Refused(refusal)) => AnswerEnd::Refused(refusal),
+            None => AnswerEnd::Refused(lost()),
         };
         if let Some(ended) = ended.take() {
-            ended(outcome);
+            ended(end);
         }
-        return Poll::Ready(outcome.err().map(|_| Err(CutStream)));
+        return Poll::Ready((end != AnswerEnd::Whole).then_some(Err(CutStream)));
     }
 }
 
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -11,7 +11,7 @@
 use crate::transport::build::{NodeParts, build_node};
 use crate::transport::claims::send_summaries;
 use crate::transport::engine::UpstreamClient;
-use crate::transport::error::CliResult;
+use crate::transport::error::{CliError, CliResult};
 use crate::transport::gateway::channels::ChannelPool;
 use crate::transport::gateway::dialect::GatewayDialect;
 use crate::transport::gateway::directory::{DirectorySource, follow_directory, insist};
@@ -29,6 +29,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -57,6 +58,9 @@
 /// How many requests may wait in one shard.
 const MAX_WAITING: u32 = 1000;
 
+/// The bounds of latency histograms, in seconds, around the targets of plain calls and streams.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.6, 0.9, 2.0, 5.0, 14.0];
+
 /// The settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -68,6 +72,10 @@
     pub grace: Duration,
     /// This host's name.
     pub host: HostName,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// How soon after its confirmation by the store news must be in force.
+    pub news_limit: Duration,
     /// Where other daemons are heard, by UDP and TCP.
     pub peer: SocketAddr,
     /// Where the balancer asks whether to send callers here.
@@ -101,6 +109,8 @@
     pub channels: ChannelPool,
     /// Reads and writes headers.
     pub dialect: Arc<dyn GatewayDialect>,
+    /// How soon news of the store must be in force.
+    pub news_limit: Duration,
     /// The daemon's shared tables.
     pub node: Arc<DaemonNode>,
     /// The upstreams.
@@ -172,13 +182,25 @@
     let callers = TcpListener::bind(settings.frontend).await?;
     let readiness = TcpListener::bind(settings.readiness).await?;
     let peers = TcpListener::bind(settings.peer).await?;
+    let metrics = TcpListener::bind(settings.metrics).await?;
+    let recorder = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS)
+        .map_err(|error| CliError::Server(error.to_string()))?
+        .build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(|e| CliError::Server(e.to_string()))?;
     log::info!(
         host:% = settings.host, domain:% = settings.domain, frontend:% = settings.frontend,
         version = env!("CARGO_PKG_VERSION");
         "daemon: started"
     );
     let serving = tokio::spawn(serve_callers(slot.clone(), callers));
-    tokio::spawn(serve_readiness(slot.clone(), readiness));
+    let probe = slot.clone();
+    tokio::spawn(serve_probes(readiness, move || match probe.is_ready() {
+        true => (StatusCode::OK, String::new()),
+        false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    }));
+    tokio::spawn(serve_probes(metrics, move || (StatusCode::OK, handle.render())));
     let starting = tokio::spawn(start(setup, slot.clone(), peers));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -249,6 +271,7 @@
         account: SOLE_ACCOUNT.parse()?,
         channels: ChannelPool::new(node.clock.clone()),
         dialect,
+        news_limit: settings.news_limit,
         node,
         registry: Mutex::new(UpstreamRegistry::default()),
         retries: Mutex::new(BTreeMap::new()),
@@ -399,30 +422,31 @@
     }
 }
 
-async fn serve_readiness(slot: Arc<GatewaySlot>, listener: TcpListener) {
+/// Answers every request on a listener with what `reply` says then.
+async fn serve_probes<F>(listener: TcpListener, reply: F)
+where
+    F: Fn() -> (StatusCode, String) + Clone + Send + 'static,
+{
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!("daemon: accepting a readiness check failed: {error}");
+                log::warn!("daemon: accepting a probe failed: {error}");
                 tokio::time::sleep(DRAIN_CHECK).await;
                 continue;
             }
         };
-        let slot = slot.clone();
+        let reply = reply.clone();
         tokio::spawn(async move {
             let service = service_fn(move |_: Request<Incoming>| {
-                let status = match slot.is_ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                let mut response = Response::new(Full::new(Bytes::new()));
+                let (status, text) = reply();
+                let mut response = Response::new(Full::new(Bytes::from(text)));
                 *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
             });
             let served = Builder::new().serve_connection(TokioIo::new(stream), service).await;
             if let Err(error) = served {
-                log::debug!("daemon: a readiness check ended: {error}");
+                log::debug!("daemon: a probe ended: {error}");
             }
         });
     }
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -175,7 +175,9 @@
     let trace = Box::new(SpanTrace::new(head.trace));
     let client = node.upstreams.clone();
     let work = Arc::new(CompletionWork { body, client, path: shape.path().to_owned() });
-    let mut parts = start_request(node, template.service.clone(), spec, work, trace);
+    let label = spec.id.to_string();
+    let service = template.service.clone();
+    let mut parts = start_request(node, service, &label, spec, work, trace);
     match parts.recv().await {
         Some(CallerPart::Refused(refusal)) => Err(refusal),
         None => {
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -197,7 +197,9 @@
     let spec = build_spec(node, plain, repeatable);
     let work = Arc::new(PlainWork::new(node.upstreams.clone(), plain.call.clone()));
     let trace = Box::new(SpanTrace::new(plain.head.trace));
-    let mut parts = start_request(node, plain.template.service.clone(), spec, work, trace);
+    let label = spec.id.to_string();
+    let service = plain.template.service.clone();
+    let mut parts = start_request(node, service, &label, spec, work, trace);
     while let Some(part) = parts.recv().await {
         match part {
             CallerPart::Answer(answer) => return Ok(answer),
--- a/src/transport/logs.rs
+++ b/src/transport/logs.rs
@@ -2,12 +2,16 @@
 //! `member`, `config`, `ticket`, `store`, `daemon` or `span`.
 
 use crate::transport::settings::{DaemonSettings, LogFormat, LogLevel};
+use logforth::append::asynchronous::AsyncBuilder;
 use logforth::append::{Stderr, Stdout};
 use logforth::filter::FilterResult;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{FilterCriteria, Level, LevelFilter};
 use logforth::{Diagnostic, Filter};
 
+/// How many lines may wait for a slow reader, some seconds' worth under load.
+const BUFFERED_LINES: usize = 4096;
+
 /// Installs the logger, before the HTTP library can install its own.
 pub fn install(settings: &DaemonSettings) {
     let level = match settings.log_level {
@@ -29,7 +33,13 @@
 
 /// Installs a logger that writes one JSON object a line to standard output.
 pub fn install_structured() {
-    let append = Stdout::default().with_layout(JsonLayout::default());
+    let stdout = Stdout::default().with_layout(JsonLayout::default());
+    // A reader that stops must not stop the daemon: its thread waits, and lines are dropped.
+    let append = AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(BUFFERED_LINES))
+        .overflow_drop_incoming()
+        .append(stdout)
+        .build();
     let filter = LevelFilter::MoreSevereEqual(Level::Info);
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter).filter(HideLibraries).append(append))
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod consul;
 #[cfg(feature = "interface")]
 pub mod daemon;
+pub mod decisions;
 pub mod engine;
 pub mod error;
 pub mod gateway;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -15,6 +15,7 @@
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::transport::claims::ClaimTable;
+use crate::transport::decisions::DecisionLog;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::links::PeerLinks;
 use crate::transport::orders::OrderTable;
@@ -49,6 +50,8 @@
     pub config: Mutex<ConfigKeeper>,
     /// Bodies that ended upstreams.
     pub crashes: Mutex<CrashLedger>,
+    /// Bounds the log lines about requests.
+    pub decisions: DecisionLog,
     /// The requests of this entry, by number.
     pub flows: Mutex<BTreeMap<u64, UnboundedSender<FlowEvent>>>,
     /// Bounds the requests in flight.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -7,6 +7,7 @@
 use crate::coordination::tickets::StoredAnswer;
 use crate::prelude::*;
 use crate::transport::claims::release;
+use crate::transport::decisions::DecisionKind;
 use crate::transport::engine::CallContext;
 use crate::transport::node::{DaemonNode, lock};
 use crate::transport::runs::{AttemptSite, RunOrder, UpstreamWork};
@@ -67,6 +68,7 @@
 pub fn start_request(
     node: &Arc<DaemonNode>,
     service: ServiceName,
+    label: &str,
     spec: RequestSpec,
     work: Arc<dyn UpstreamWork>,
     trace: Box<dyn RequestTrace>,
@@ -85,10 +87,12 @@
     let sequence = spec.id.sequence;
     let prompt = spec.prompt;
     let driver = RequestDriver {
+        accepted: now,
         claim: None,
         deadline: spec.deadline,
         events,
         flow: RequestFlow::new(now, spec),
+        label: label.to_owned(),
         latency,
         lost_caller: false,
         node: node.clone(),
@@ -109,11 +113,14 @@
 }
 
 struct RequestDriver {
+    accepted: Instant,
     /// What the current attempt holds.
     claim: Option<SlotClaim>,
     deadline: Instant,
     events: UnboundedSender<FlowEvent>,
     flow: RequestFlow,
+    /// The caller's name of the request, for the log.
+    label: String,
     latency: LatencyRecord,
     /// Whether the caller did not take a part of its answer.
     lost_caller: bool,
@@ -133,6 +140,7 @@
         let mut event = FlowEvent::Start;
         loop {
             let now = self.node.clock.now();
+            self.log_loss(&event);
             let actions = self.flow.handle(now, event);
             for action in actions {
                 self.carry_out(action).await;
@@ -154,6 +162,7 @@
                 () = tokio::time::sleep(wake) => FlowEvent::Tick,
                 () = self.parts.closed(), if !told => {
                     told = true;
+                    self.log_caller_left();
                     FlowEvent::CallerGone
                 }
             };
@@ -187,6 +196,9 @@
             }
             FlowAction::Open => self.pass_on(CallerPart::Opened).await,
             FlowAction::Emit(text) => {
+                if self.latency.first.is_none() {
+                    self.log_first_token();
+                }
                 self.latency.token(self.node.clock.now());
                 self.pass_on(CallerPart::Text(text)).await;
             }
@@ -214,6 +226,54 @@
         self.lost_caller = !matches!(sent, Ok(Ok(())));
     }
 
+    fn age(&self) -> u64 {
+        (self.node.clock.now() - self.accepted).as_millis() as u64
+    }
+
+    fn log_grant(&self, domain: &DomainName, claim: &SlotClaim) {
+        if self.node.decisions.takes(DecisionKind::Granted) {
+            log::info!(
+                request = self.label.as_str(), attempt = claim.attempt.attempt, domain:% = domain,
+                runner:% = claim.runner, prefill:? = claim.prefill.as_ref().map(UpstreamName::as_str),
+                pieces = claim.pieces.0, age_ms = self.age();
+                "entry: granted"
+            );
+        }
+    }
+
+    fn log_first_token(&self) {
+        if self.node.decisions.takes(DecisionKind::FirstToken) {
+            log::info!(request = self.label.as_str(), age_ms = self.age(); "entry: first token");
+        }
+    }
+
+    fn log_loss(&self, event: &FlowEvent) {
+        let (step, loss) = match event {
+            FlowEvent::PrefillFailed(_, loss) => ("prefill", loss),
+            FlowEvent::RunFailed(_, loss) => ("run", loss),
+            _ => return,
+        };
+        if self.node.decisions.takes(DecisionKind::Lost) {
+            let claim = self.claim.as_ref();
+            log::info!(
+                request = self.label.as_str(), step, loss:? = loss, tokens = self.flow.tokens(),
+                runner:? = claim.map(|claim| claim.runner.as_str()),
+                prefill:? = claim.and_then(|claim| Some(claim.prefill.as_ref()?.as_str())),
+                age_ms = self.age();
+                "entry: an upstream failed"
+            );
+        }
+    }
+
+    fn log_caller_left(&self) {
+        if self.node.decisions.takes(DecisionKind::CallerLeft) {
+            log::info!(
+                request = self.label.as_str(), tokens = self.flow.tokens(), age_ms = self.age();
+                "entry: the caller left"
+            );
+        }
+    }
+
     fn begin_hop(&mut self, name: &'static str) {
         self.trace.begin_hop(name);
     }
@@ -233,6 +293,7 @@
     }
 
     fn claim(&mut self, domain: &DomainName, claim: SlotClaim) {
+        self.log_grant(domain, &claim);
         self.claim = Some(claim.clone());
         let message = lock(&self.node.claims).book(&self.service, domain).insert(claim);
         self.node.tell_claim_holders(&self.service, domain, &message);
@@ -328,6 +389,8 @@
             counter!("apricotrun_goodput_total", "service" => service).increment(1);
         }
         if let Some(first) = self.latency.first {
+            let took = (self.node.clock.now() - self.accepted).as_secs_f64();
+            histogram!("apricotrun_whole_answer_seconds").record(took);
             histogram!("apricotrun_first_token_seconds").record(first - self.latency.accepted);
         }
         if let Some(answer) = answer {
