Plan once, by measured requests, which prefill workers decode

Change: the first owner that has seen 24 requests writes a plan by create-if-absent; only its writer gives the orders, one to each worker, under the number of that write and with the worker's count of orders expected to be 0. Every daemon leaves planned workers alone from the plan's news until they are back. Where decode workers can compute prompts too, an owner queues at most 3 prompts at a prefill worker.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod ownership;
 pub mod registry;
 pub mod retries;
+pub mod roles;
 pub mod shard;
 pub mod store;
 pub mod tickets;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -4,6 +4,7 @@
 //! records lapse although their upstreams live, and return within moments. See docs/PLATFORM.md,
 //! "Upstreams".
 
+use crate::coordination::roles::FollowedPlan;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -43,6 +44,8 @@
     Removed(UpstreamName),
     /// These are all records.
     Listed(BTreeMap<UpstreamName, UpstreamRecord>),
+    /// Workers of a service change their role.
+    Planned(ServiceName, FollowedPlan),
     /// The store did not answer.
     StoreLost,
     /// The store answers again.
@@ -76,6 +79,7 @@
 pub struct UpstreamRegistry {
     away: bool,
     entries: BTreeMap<UpstreamName, RegistryEntry>,
+    plans: BTreeMap<ServiceName, FollowedPlan>,
     returned: Option<Instant>,
 }
 
@@ -87,6 +91,9 @@
             RegistryEvent::Written(name, record) => self.write(name, record, &mut changes),
             RegistryEvent::Removed(name) => self.remove(now, &name, &mut changes),
             RegistryEvent::Listed(records) => self.list(now, records, &mut changes),
+            RegistryEvent::Planned(service, plan) => {
+                self.plans.insert(service, plan);
+            }
             RegistryEvent::StoreLost => self.away = true,
             RegistryEvent::StoreBack => {
                 if self.away {
@@ -112,10 +119,28 @@
     /// Returns whether an upstream may be sent a request now.
     pub fn takes_work(&self, now: Instant, name: &UpstreamName) -> bool {
         self.entries.get(name).is_some_and(|entry| {
-            !entry.record.leaving && entry.lapses.is_none_or(|until| now < until)
+            let changes = self.is_changing(now, name, &entry.record);
+            let leaves = entry.record.leaving || changes;
+            !leaves && entry.lapses.is_none_or(|until| now < until)
         })
     }
 
+    /// Returns whether an upstream is left alone because it changes its role.
+    pub fn is_changing(&self, now: Instant, name: &UpstreamName, record: &UpstreamRecord) -> bool {
+        let plan = self.plans.get(&record.service);
+        plan.is_some_and(|plan| plan.is_changing(now, name, record.life, record.role))
+    }
+
+    /// Returns whether a plan for a service is known.
+    pub fn is_planned(&self, service: &ServiceName) -> bool {
+        self.plans.contains_key(service)
+    }
+
+    /// Returns the address of an upstream.
+    pub fn address_of(&self, name: &UpstreamName) -> Option<SocketAddr> {
+        self.entries.get(name).map(|entry| entry.record.address)
+    }
+
     /// Returns the service of an upstream.
     pub fn service_of(&self, name: &UpstreamName) -> Option<ServiceName> {
         self.entries.get(name).map(|entry| entry.record.service.clone())
--- a/src/coordination/shard/estimate.rs
+++ b/src/coordination/shard/estimate.rs
@@ -1,7 +1,10 @@
 //! Estimates how fast a shard works, from what finished lately.
 
+use crate::coordination::roles::RequestShape;
 use crate::prelude::*;
 
+/// How many requests must have been seen before their shape counts.
+const SHAPE_SAMPLES: u32 = 24;
 /// The weight of the newest sample in a moving mean.
 const NEWEST_WEIGHT: f64 = 0.05;
 
@@ -30,6 +33,7 @@
 /// A moving mean of lengths in tokens.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MeanLength {
+    samples: u32,
     tokens: Option<f64>,
 }
 
@@ -38,7 +42,10 @@
     pub fn add(&mut self, sample: Tokens) {
         let sample = f64::from(sample.0);
         let mean = self.tokens.unwrap_or(sample);
-        self.tokens = Some(mean + NEWEST_WEIGHT * (sample - mean));
+        self.samples = self.samples.saturating_add(1);
+        // The first samples count alike; none of them is known to be typical.
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.tokens = Some(mean + weight * (sample - mean));
     }
 }
 
@@ -49,8 +56,12 @@
     pub answer: MeanLength,
     /// How long attempts hold their decode or plain slot.
     pub hold: MeanDuration,
+    /// How long answers were expected to get when their requests were granted, in tokens.
+    pub expected: MeanLength,
     /// The pieces of memory that a run holds in the mean over its time.
     pub need: MeanLength,
+    /// How long prompts are, in tokens.
+    pub prompt: MeanLength,
     /// How long attempts hold their prefill slot.
     pub prefill: MeanDuration,
 }
@@ -77,6 +88,24 @@
         }
     }
 
+    /// Returns what requests need in the mean, once enough have been granted. It goes by what was
+    /// granted and not by what has finished, since short answers finish first.
+    pub fn shape(
+        &self,
+        template: &ServiceTemplate,
+        slots: UsableSlots,
+        decode_workers: usize,
+    ) -> Option<RequestShape> {
+        if self.need.samples < SHAPE_SAMPLES {
+            return None;
+        }
+        let prompt = Tokens(self.prompt.tokens? as u32);
+        let run = template.token_time?.as_secs_f64() * self.expected.tokens?;
+        let parallel = self.parallel_runs(slots) / decode_workers.max(1) as f64;
+        let prefill = template.prefill_tokens_per_second.time_for(prompt).as_secs_f64();
+        Some(RequestShape { parallel, prefill, run })
+    }
+
     /// Returns how many requests run at the same time when slots or memory are full.
     fn parallel_runs(&self, slots: UsableSlots) -> f64 {
         let all = f64::from(slots.run);
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -7,6 +7,7 @@
 pub use events::{ShardAction, ShardEvent, ShardRole, ShardStatus, UpstreamStatus};
 
 use crate::coordination::messages::{ShardMessage, SlotClaim};
+use crate::coordination::roles::RequestShape;
 use crate::coordination::shard::bookings::BookingSchedule;
 use crate::coordination::shard::estimate::LoadEstimate;
 use crate::coordination::shard::pool::{MemoryPace, WorkerPool};
@@ -107,6 +108,15 @@
         ShardStatus { role: self.role, waiting: self.queue.len(), upstreams: rows.collect() }
     }
 
+    /// Returns what requests need in the mean, if this daemon owns the shard and has seen enough.
+    pub fn shape(&self, now: Instant) -> Option<RequestShape> {
+        if self.role != ShardRole::Owner {
+            return None;
+        }
+        let template = self.template.as_ref()?;
+        self.estimate.shape(template, self.pool.usable(now), self.pool.usable_decoders(now))
+    }
+
     /// Returns this daemon's role.
     pub fn role(&self) -> ShardRole {
         self.role
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -23,6 +23,9 @@
 const LATE_PART: f64 = 0.75;
 /// By how much less distance counts for prefill workers, whose results move in milliseconds.
 const PREFILL_NEARNESS: u64 = 10;
+/// How many prompts of one owner a prefill worker has at most; computing one takes a tenth of a second,
+/// and other owners send it prompts too.
+const PREFILL_QUEUE: u32 = 3;
 /// The weight of the newest measurement of a worker's speed.
 const SPEED_WEIGHT: f64 = 0.2;
 /// The load, in thousandths, that an upstream of this failure domain may have before an idle one
@@ -326,6 +329,11 @@
         slots
     }
 
+    /// Returns how many decode workers can be used now.
+    pub fn usable_decoders(&self, now: Instant) -> usize {
+        self.runners().filter(|worker| worker.is_usable(now)).count()
+    }
+
     /// Returns whether any upstream is there to be tried, at rest or not.
     pub fn has_runners(&self) -> bool {
         self.runners().any(|worker| !worker.spec.leaving)
@@ -501,6 +509,13 @@
         }
     }
 
+    /// Returns how many prompts a prefill worker may have at the same time. Where decode workers can
+    /// compute prompts too, a short queue is worth more than a full one.
+    fn prefill_limit(&self, worker: &PoolWorker) -> u32 {
+        let all = worker.spec.slots.0;
+        if self.pace.is_some() { all.min(PREFILL_QUEUE) } else { all }
+    }
+
     fn choose_prefill(
         &self,
         now: Instant,
@@ -510,7 +525,7 @@
         let candidates = self.workers.values().filter(|worker| {
             worker.spec.role == UpstreamRole::Prefill
                 && worker.is_usable(now)
-                && worker.slots < worker.spec.slots.0
+                && worker.slots < self.prefill_limit(worker)
                 && !ask.avoid.contains(&worker.spec.name)
         });
         candidates.min_by_key(|worker| {
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -85,6 +85,8 @@
     pub link: TokenRate,
     /// The engine memory of one worker.
     pub memory: Tokens,
+    /// How long a worker is away that changes its role.
+    pub role_change: Duration,
     /// How many tokens one event of a stream carries.
     pub tokens_per_event: u32,
 }
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's store: which routes, upstreams and hosts there are.
 
 use crate::coordination::registry::{RegistryChange, RegistryEvent, UpstreamRecord};
+use crate::coordination::roles::{FollowedPlan, RolePlan};
 use crate::coordination::store::{StoreError, StoreVersion};
 use crate::prelude::*;
 use crate::protocol::codec::PeerKey;
@@ -31,6 +32,8 @@
 pub struct DirectorySnapshot {
     /// Other hosts, and where their daemons hear each other.
     pub hosts: BTreeMap<HostName, SocketAddr>,
+    /// The plans of roles by service.
+    pub plans: BTreeMap<ServiceName, RolePlan>,
     /// The routes; nothing before the operator has written any.
     pub routes: Option<RouteTable>,
     /// Where a watch goes on.
@@ -44,6 +47,8 @@
 pub enum DirectoryChange {
     /// A host came.
     Host(HostName, SocketAddr),
+    /// A plan of roles was made.
+    Planned(ServiceName, RolePlan),
     /// The routes changed.
     Routes(RouteTable),
     /// An upstream wrote its record, or the record is gone.
@@ -176,6 +181,13 @@
         if let Some(routes) = snapshot.routes {
             self.take_routes(routes);
         }
+        let now = self.node.clock.now();
+        let plans = snapshot.plans.into_iter();
+        self.hear_registry(
+            plans.map(|(service, plan)| {
+                RegistryEvent::Planned(service, FollowedPlan::old(now, plan))
+            }),
+        );
         self.hear_registry([RegistryEvent::Listed(snapshot.upstreams)]);
         self.configure();
     }
@@ -187,6 +199,10 @@
             match change {
                 // Membership learns of hosts by its own probes.
                 DirectoryChange::Host(..) => {}
+                DirectoryChange::Planned(service, plan) => {
+                    changed = true;
+                    events.push(self.follow_plan(service, plan));
+                }
                 DirectoryChange::Routes(routes) => changed |= self.take_routes(routes),
                 DirectoryChange::Upstream(name, Some(record)) => {
                     events.push(RegistryEvent::Written(name, record));
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod forward;
 pub mod frontend;
 pub mod reply;
+pub mod roles;
 pub mod start;
 pub mod stream;
 
@@ -18,4 +19,5 @@
     UpstreamStep,
 };
 pub use directory::{DirectoryChange, DirectoryNews, DirectorySnapshot, DirectorySource};
+pub use roles::RolePort;
 pub use start::{GatewaySettings, GatewaySetup, run_gateway};
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -16,6 +16,7 @@
 use crate::transport::gateway::dialect::GatewayDialect;
 use crate::transport::gateway::directory::{DirectorySource, follow_directory, insist};
 use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
+use crate::transport::gateway::roles::{RolePort, plan_roles};
 use crate::transport::gossip;
 use crate::transport::links::serve_links;
 use crate::transport::node::{DaemonNode, lock};
@@ -90,6 +91,8 @@
 pub struct GatewaySetup {
     /// Reads and writes headers.
     pub dialect: Arc<dyn GatewayDialect>,
+    /// Keeps plans of roles and gives orders.
+    pub roles: Arc<dyn RolePort>,
     /// The settings.
     pub settings: GatewaySettings,
     /// Tells of routes, upstreams and hosts.
@@ -251,7 +254,7 @@
 }
 
 async fn start(setup: GatewaySetup, slot: Arc<GatewaySlot>, peers: TcpListener) -> CliResult<()> {
-    let GatewaySetup { dialect, settings, source, store } = setup;
+    let GatewaySetup { dialect, roles, settings, source, store } = setup;
     let key = insist("registering this host", || source.enroll(&settings.host, settings.peer));
     let key = key.await;
     let snapshot = insist("reading the configuration", || source.load()).await;
@@ -286,6 +289,7 @@
         log::error!("daemon: the gateway was started twice");
     }
     tokio::spawn(follow_directory(gateway.clone(), seen));
+    tokio::spawn(plan_roles(gateway.clone(), roles));
     look_after(gateway, slot).await;
     Ok(())
 }
@@ -343,7 +347,8 @@
         let templates: Vec<_> = {
             let registry = lock(&self.registry);
             let services = routes.services.iter();
-            services.map(|(name, service)| build_template(name, service, &registry)).collect()
+            let now = self.node.clock.now();
+            services.map(|(name, service)| build_template(now, name, service, &registry)).collect()
         };
         let grant = AccountGrant { ceiling: 1.0, max_waiting: MAX_WAITING, share: 1.0 };
         let account = AccountParameters {
@@ -359,6 +364,7 @@
 }
 
 fn build_template(
+    now: Instant,
     name: &ServiceName,
     service: &RoutedService,
     registry: &UpstreamRegistry,
@@ -368,7 +374,7 @@
         address: record.address,
         checks_fencing: false,
         domain: record.domain.clone(),
-        leaving: record.leaving,
+        leaving: record.leaving || registry.is_changing(now, id, record),
         life: record.life,
         name: id.clone(),
         pieces: engine.map(|engine| Pieces(engine.memory.0 / BLOCK.0)),
