--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -17,7 +17,7 @@
 const ORPHAN_MEMORY: Duration = Duration::from_secs(60);
 /// The part of a worker's memory that forecasts may fill; the rest is for answers that get longer
 /// than forecast.
-const FILLED_PART: f64 = 0.97;
+const FILLED_PART: f64 = 0.92;
 /// The part that requests may fill whose first token is late already, so that those still in time find
 /// room.
 const LATE_PART: f64 = 0.75;
