Tell late requests to come back after the burst; try silent calls elsewhere

Change: come-back times of requests that will be late begin at 3 s; a call that may be repeated is tried elsewhere after three latency targets of silence.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -89,7 +89,7 @@
     pub(super) fn progress_due(&self, now: Instant, running: bool) -> Instant {
         let between = self.spec.between_token_target * STALLED_TOKENS;
         if between.is_zero() {
-            return self.spec.deadline;
+            return self.spec.stall_limit.map_or(self.spec.deadline, |limit| now + limit);
         }
         let between = self.spec.stall_limit.unwrap_or(between);
         let expected = match (running, self.transfers) {
--- a/src/coordination/shard/bookings.rs
+++ b/src/coordination/shard/bookings.rs
@@ -23,9 +23,16 @@
 }
 
 impl BookingSchedule {
-    /// Books a time for an account that can start `rate` requests a second, and returns the wait.
-    pub fn book(&mut self, now: Instant, account: &AccountName, rate: f64) -> Duration {
-        let soonest = now + MIN_WAIT;
+    /// Books a time for an account that can start `rate` requests a second, not before `least` has
+    /// passed, and returns the wait.
+    pub fn book(
+        &mut self,
+        now: Instant,
+        account: &AccountName,
+        rate: f64,
+        least: Duration,
+    ) -> Duration {
+        let soonest = now + least.max(MIN_WAIT);
         let step = Duration::from_secs_f64(1.0 / (rate * BOOKED_PART).max(0.01));
         let booking = self
             .accounts
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -15,6 +15,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
 /// How long a request waits for idle room whose first token is late already.
 const LATE_PATIENCE: Duration = Duration::from_millis(2_500);
+/// The earliest time for a request to come back that will be late: bursts last some seconds.
+const LATE_RETURN: Duration = Duration::from_secs(3);
 /// When to come back to a shard that has no upstream.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(2);
 
@@ -207,7 +209,9 @@
         let rate = self.shard_rate(now, template, &waiting.ask) * self.fraction_of(now, account);
         let due = now + waiting.ask.first_token_within;
         self.returns.note(now, waiting.ask.fingerprint, due);
-        self.bookings.book(now, account, rate)
+        // It will be late then, so it runs in idle room only: after the burst, not in it.
+        let least = if template.token_time.is_some() { LATE_RETURN } else { Duration::ZERO };
+        self.bookings.book(now, account, rate, least)
     }
 
     pub(super) fn is_over_ceiling(
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -2,7 +2,7 @@
 
 use crate::coordination::flow::RequestSpec;
 use crate::prelude::*;
-use crate::state::routes::{RouteRule, RouteTable};
+use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::decisions::DecisionKind;
 use crate::transport::gateway::dialect::InboundHead;
 use crate::transport::gateway::forward::{ForwardWork, InboundRequest, UpstreamReply};
@@ -42,6 +42,9 @@
 const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
 /// How long a stream may be silent before its upstream counts as lost: callers leave soon after.
 const STREAM_STALL: Duration = Duration::from_millis(1_500);
+/// After how many latency targets a call that may be repeated is tried elsewhere; slow answers take
+/// up to one and a half.
+const CALL_STALL_TARGETS: u32 = 3;
 /// When to come back to a daemon that knows no configuration yet.
 const CONFIG_WAIT: Duration = Duration::from_secs(1);
 
@@ -299,6 +302,16 @@
     response
 }
 
+/// Returns after what silence an upstream counts as lost. A call that runs once must wait: another
+/// upstream may not run it anyway.
+fn stall_limit(rule: &RouteRule) -> Option<Duration> {
+    match rule.kind {
+        RouteKind::Stream { .. } => Some(STREAM_STALL),
+        RouteKind::Idempotent => Some(rule.latency_target * CALL_STALL_TARGETS),
+        RouteKind::NonIdempotent => None,
+    }
+}
+
 fn build_spec(
     gateway: &Gateway,
     routes: &RouteTable,
@@ -350,7 +363,7 @@
         retries,
         returning: false,
         run_limit: rule.run_limit,
-        stall_limit: rule.kind.is_stream().then_some(STREAM_STALL),
+        stall_limit: stall_limit(rule),
         tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
     })
 }
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -380,6 +380,21 @@
     assert_eq!(asks(&bench.pass(MILLI)).len(), 1, "it goes on elsewhere");
 }
 
+#[test]
+fn silent_call_that_may_be_repeated_is_tried_elsewhere() {
+    let mut bench = Bench::plain(true);
+    let mut stalls = Bench::new(|spec| {
+        spec.between_token_target = Duration::ZERO;
+        spec.stall_limit = Some(MILLI * 450);
+    });
+    for bench in [&mut bench, &mut stalls] {
+        bench.feed(FlowEvent::Start);
+        bench.grant(1, "d0", ClaimPhase::Run);
+    }
+    assert!(bench.pass(MILLI * 450).is_empty(), "without a limit it has until its deadline");
+    assert_eq!(asks(&stalls.pass(MILLI * 450)).len(), 1);
+}
+
 #[test]
 fn owner_hears_how_far_a_run_has_come() {
     let mut bench = Bench::new(|spec| {
