--- /dev/null
+++ b/src/bin/apricotctl/explain.rs
@@ -0,0 +1,159 @@
+//! Shows the trail of one request through the logs of several daemons.
+
+use crate::config::Config;
+use apricotrun::transport::error::{CliError, CliResult};
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// How long around a request what happened to its upstreams may explain it, in seconds.
+const NEARBY_SECONDS: f64 = 10.0;
+
+/// The arguments of `explain`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// The caller's id of the request.
+    request: String,
+    /// Log files of the daemons, one JSON object a line.
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+}
+
+/// One log line.
+#[derive(Clone, Debug, Serialize)]
+struct LogLine {
+    /// Seconds since the Unix epoch.
+    at: f64,
+    fields: Map<String, Value>,
+    file: String,
+    message: String,
+}
+
+impl LogLine {
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+}
+
+/// What the logs say of a request.
+#[derive(Debug, Serialize)]
+struct Explanation {
+    cause: String,
+    trail: Vec<LogLine>,
+    /// What happened meanwhile to the upstreams that the request was given.
+    upstreams: Vec<LogLine>,
+}
+
+/// Prints the trail of a request and what it says of the cause.
+pub fn run(config: &Config, args: Args) -> CliResult<()> {
+    let mut lines = Vec::new();
+    for file in &args.files {
+        read_lines(file, &mut lines)?;
+    }
+    lines.sort_by(|left, right| left.at.total_cmp(&right.at));
+    let explanation = explain(&args.request, &lines)?;
+    if config.json {
+        let text = serde_json::to_string_pretty(&explanation);
+        println!("{}", text.map_err(|error| CliError::Answer(error.to_string()))?);
+        return Ok(());
+    }
+    let first = explanation.trail[0].at;
+    let mut shown: Vec<_> = explanation.trail.iter().chain(&explanation.upstreams).collect();
+    shown.sort_by(|left, right| left.at.total_cmp(&right.at));
+    for line in shown {
+        print_line(first, line);
+    }
+    println!("{}", explanation.cause);
+    Ok(())
+}
+
+fn read_lines(path: &Path, lines: &mut Vec<LogLine>) -> CliResult<()> {
+    let file = path.file_name().unwrap_or(path.as_os_str()).to_string_lossy().into_owned();
+    let text = fs::read_to_string(path)
+        .map_err(|error| CliError::Answer(format!("{}: {error}", path.display())))?;
+    // Other lines, such as a panic's, are not of this kind.
+    let objects = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    for object in objects {
+        let (Some(at), Some(message)) = (time_of(&object), object["message"].as_str()) else {
+            continue;
+        };
+        let fields = object["kvs"].as_object().cloned().unwrap_or_default();
+        lines.push(LogLine { at, fields, file: file.clone(), message: message.to_owned() });
+    }
+    Ok(())
+}
+
+/// Reads a line's time, as RFC 3339 with any number of fractional digits.
+fn time_of(object: &Value) -> Option<f64> {
+    let text = object["timestamp"].as_str()?;
+    let (date, time) = text.split_once('T')?;
+    let mut date = date.split('-').map(|part| part.parse::<i64>().ok());
+    let (year, month, day) = (date.next()??, date.next()??, date.next()??);
+    let clock = time.split(['+', 'Z']).next()?;
+    let mut clock = clock.split(':').map(|part| part.parse::<f64>().ok());
+    let (hour, minute, second) = (clock.next()??, clock.next()??, clock.next()??);
+    // The civil calendar's days since the epoch, with March as the first month.
+    let shifted = if month <= 2 { year - 1 } else { year };
+    let era = shifted.div_euclid(400);
+    let year_of_era = shifted.rem_euclid(400);
+    let day_of_year = (153 * ((month + 9) % 12) + 2) / 5 + day - 1;
+    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
+    let days = era * 146_097 + day_of_era - 719_468;
+    Some(days as f64 * 86_400.0 + hour * 3600.0 + minute * 60.0 + second)
+}
+
+fn explain(request: &str, lines: &[LogLine]) -> CliResult<Explanation> {
+    let own = lines.iter().filter(|line| line.text("request") == Some(request));
+    let trail: Vec<_> = own.cloned().collect();
+    let (Some(first), Some(last)) = (trail.first(), trail.last()) else {
+        return Err(CliError::Answer(format!(
+            "no line about request {request}: it reached no daemon of these logs, or its daemon \
+             ended before it wrote"
+        )));
+    };
+    let (from, to) = (first.at - NEARBY_SECONDS, last.at + NEARBY_SECONDS);
+    let used: Vec<_> = trail.iter().filter_map(|line| line.text("runner")).collect();
+    let upstreams = lines.iter().filter(|line| {
+        let named = line.text("upstream").is_some_and(|upstream| used.contains(&upstream));
+        named && (from..=to).contains(&line.at)
+    });
+    let upstreams: Vec<_> = upstreams.cloned().collect();
+    Ok(Explanation { cause: cause_of(&trail, &upstreams), trail, upstreams })
+}
+
+fn cause_of(trail: &[LogLine], upstreams: &[LogLine]) -> String {
+    let runner = trail.iter().rev().find_map(|line| line.text("runner")).unwrap_or("none");
+    let gone = upstreams
+        .iter()
+        .any(|line| line.message == "upstream: is gone" && line.text("upstream") == Some(runner));
+    let state = if gone { "is gone" } else { "still lives as far as the logs say" };
+    let Some(end) = trail.iter().rev().find(|line| is_end(line)) else {
+        return format!("no end is logged: its daemon ended, or still runs it at {runner}");
+    };
+    let reason = end.text("reason").unwrap_or_default();
+    match (end.message.as_str(), end.text("verdict")) {
+        ("entry: answered", _) => format!("answered; run by {runner}"),
+        ("entry: the caller left", _) => {
+            format!("the caller left, or its connection went silent; run by {runner}")
+        }
+        (_, Some("not-run")) if reason == "Overloaded" => {
+            "not run: there was no room that would have kept its target".to_owned()
+        }
+        (_, Some("not-run")) => format!("not run: {reason}"),
+        _ => format!("may have run: {reason} at {runner}, which {state}"),
+    }
+}
+
+fn is_end(line: &LogLine) -> bool {
+    matches!(
+        line.message.as_str(),
+        "entry: answered" | "entry: not answered" | "entry: the caller left"
+    )
+}
+
+fn print_line(first: f64, line: &LogLine) {
+    let fields = line.fields.iter().filter(|(name, _)| *name != "request");
+    let fields: Vec<_> = fields.map(|(name, value)| format!("{name}={value}")).collect();
+    println!("{:+9.3} {:<14} {} {}", line.at - first, line.file, line.message, fields.join(" "));
+}
--- a/src/bin/apricotctl/main.rs
+++ b/src/bin/apricotctl/main.rs
@@ -9,6 +9,7 @@
 mod config;
 mod documents;
 mod drain;
+mod explain;
 mod status;
 mod template;
 mod undrain;
@@ -32,6 +33,8 @@
     Apply(apply::Args),
     /// Sends no new work to an upstream, or stops a host gracefully.
     Drain(drain::Args),
+    /// Shows the trail of one request through the daemons' logs.
+    Explain(explain::Args),
     /// Shows who is alive, who owns what, slots and revisions.
     Status(status::Args),
     /// Reads and changes templates.
@@ -59,6 +62,7 @@
             Command::Account(args) => account::run(&config, args).await,
             Command::Apply(args) => apply::run(&config, args).await,
             Command::Drain(args) => drain::run(&config, args).await,
+            Command::Explain(args) => explain::run(&config, args),
             Command::Status(args) => status::run(&config, args).await,
             Command::Template(args) => template::run(&config, args).await,
             Command::Undrain(args) => undrain::run(&config, args).await,
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -52,9 +52,19 @@
     pub status: StatusCode,
 }
 
+/// A computed prompt at its prefill worker.
+#[derive(Clone, Debug)]
+struct KeptResult {
+    address: SocketAddr,
+    handle: String,
+    upstream: UpstreamName,
+}
+
 /// What a forwarded request does at its upstreams.
 pub struct ForwardWork {
     gateway: Arc<Gateway>,
+    /// The computed prompt that no run has fetched yet.
+    kept: Mutex<Option<KeptResult>>,
     kind: RouteKind,
     reply: Mutex<Option<UpstreamReply>>,
     request: InboundRequest,
@@ -63,7 +73,7 @@
 impl ForwardWork {
     /// Returns the work of a request.
     pub fn new(gateway: Arc<Gateway>, kind: RouteKind, request: InboundRequest) -> Self {
-        Self { gateway, kind, reply: Mutex::new(None), request }
+        Self { gateway, kept: Mutex::new(None), kind, reply: Mutex::new(None), request }
     }
 
     /// Returns the upstream's answer as far as it is known.
@@ -112,7 +122,12 @@
             _ => None,
         };
         match handle {
-            Some(handle) => Ok(KvHandle(format!("{address}/{handle}"))),
+            Some(handle) => {
+                let place = KvHandle(format!("{address}/{handle}"));
+                let upstream = site.upstream.clone();
+                *lock(&self.kept) = Some(KeptResult { address, handle, upstream });
+                Ok(place)
+            }
             None => Err(UpstreamLoss::Failed),
         }
     }
@@ -131,6 +146,8 @@
             }
             return Err(loss_of(head.kind));
         }
+        // The run has fetched the prompt, which is gone from its prefill worker.
+        lock(&self.kept).take();
         let status = answer.response.status();
         if self.kind.is_stream() && status == StatusCode::OK {
             return self.relay(order, answer, &head, events).await;
@@ -143,6 +160,27 @@
         Ok(FlowEvent::CallAnswered(order.site.context.attempt.clone()))
     }
 
+    /// Frees a computed prompt that nobody will fetch, before its worker evicts it by itself.
+    async fn free_kept(&self) -> bool {
+        let Some(kept) = lock(&self.kept).take() else { return true };
+        let path = self.gateway.dialect.handle_path(&kept.handle);
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::DELETE;
+        match path.parse() {
+            Ok(target) => *request.uri_mut() = target,
+            Err(error) => {
+                log::warn!("entry: a result of {} cannot be freed: {error}", kept.upstream);
+                return true;
+            }
+        }
+        let most = self.gateway.connection_limit(&kept.upstream);
+        let key = (kept.address, kept.upstream);
+        if let Err(loss) = self.gateway.channels.send(&key, most, request).await {
+            log::debug!("entry: a result of {} is evicted by itself: {loss:?}", key.1);
+        }
+        true
+    }
+
     /// Passes a stream's events on as they come.
     async fn relay(
         &self,
@@ -228,8 +266,8 @@
     }
 
     fn cancel<'a>(&'a self, _: &'a [SocketAddr], _: &'a AttemptId) -> BoxFuture<'a, bool> {
-        // The connection has been closed with the attempt.
-        Box::pin(async { true })
+        // The connection has been closed with the attempt; what is left is an unused prompt.
+        Box::pin(self.free_kept())
     }
 }
 
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -234,7 +234,7 @@
         if self.node.decisions.takes(DecisionKind::Granted) {
             log::info!(
                 request = self.label.as_str(), attempt = claim.attempt.attempt, domain:% = domain,
-                runner:% = claim.runner, prefill:? = claim.prefill.as_ref().map(UpstreamName::as_str),
+                runner:% = claim.runner, prefill = prefill_of(Some(claim)),
                 pieces = claim.pieces.0, age_ms = self.age();
                 "entry: granted"
             );
@@ -257,8 +257,8 @@
             let claim = self.claim.as_ref();
             log::info!(
                 request = self.label.as_str(), step, loss:? = loss, tokens = self.flow.tokens(),
-                runner:? = claim.map(|claim| claim.runner.as_str()),
-                prefill:? = claim.and_then(|claim| Some(claim.prefill.as_ref()?.as_str())),
+                runner = claim.map_or("", |claim| claim.runner.as_str()),
+                prefill = prefill_of(claim),
                 age_ms = self.age();
                 "entry: an upstream failed"
             );
@@ -416,3 +416,9 @@
         log::debug!("entry: an upstream's last event came after the end of its request");
     }
 }
+
+/// Returns the prefill worker of a claim for the log, empty if there is none.
+fn prefill_of(claim: Option<&SlotClaim>) -> &str {
+    let prefill = claim.and_then(|claim| claim.prefill.as_ref());
+    prefill.map_or("", UpstreamName::as_str)
+}
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,74 @@
+//! `apricotctl explain` on recorded logs.
+
+use expect_test::{Expect, expect};
+use standins::fleet::own_binaries;
+use std::fs;
+use std::process::Command;
+
+/// Two daemons' logs of three requests: cut with its worker, refused, without an answer.
+const ENTRY_LOG: &str = r#"{"timestamp":"2026-09-12T05:06:52.044000+00:00","level":"INFO","message":"entry: accepted","kvs":{"request":"cut1","route":"note","prompt":6495}}
+{"timestamp":"2026-09-12T05:06:52.045000+00:00","level":"INFO","message":"entry: granted","kvs":{"request":"cut1","runner":"w7","prefill":"w2"}}
+{"timestamp":"2026-09-12T05:06:52.181000+00:00","level":"INFO","message":"entry: first token","kvs":{"request":"cut1","age_ms":137}}
+thread 'main' is not a log line
+{"timestamp":"2026-09-12T05:06:57.512000+00:00","level":"INFO","message":"entry: not answered","kvs":{"request":"cut1","reason":"UpstreamFailed","verdict":"may-have-run","status":502}}
+{"timestamp":"2026-09-12T05:06:57.601000+00:00","level":"INFO","message":"entry: accepted","kvs":{"request":"full1","route":"note"}}
+{"timestamp":"2026-09-12T05:06:58.327000+00:00","level":"INFO","message":"entry: not answered","kvs":{"request":"full1","reason":"Overloaded","verdict":"not-run","status":429,"come_back_ms":3000}}
+{"timestamp":"2026-09-12T05:06:58.500000+00:00","level":"INFO","message":"entry: granted","kvs":{"request":"book1","runner":"w9","prefill":""}}
+{"timestamp":"2026-09-12T05:06:58.501000+00:00","level":"INFO","message":"entry: an upstream failed","kvs":{"request":"book1","runner":"w9","loss":"Broken"}}
+{"timestamp":"2026-09-12T05:06:58.502000+00:00","level":"INFO","message":"entry: not answered","kvs":{"request":"book1","reason":"UpstreamFailed","verdict":"may-have-run","status":502}}
+"#;
+const OTHER_LOG: &str = r#"{"timestamp":"2026-09-12T05:06:59.659000+00:00","level":"INFO","message":"upstream: is gone","kvs":{"upstream":"w7"}}
+{"timestamp":"2026-09-12T05:08:59.659000+00:00","level":"INFO","message":"upstream: is gone","kvs":{"upstream":"w9"}}
+"#;
+
+fn explain(request: &str, more: &[&str], expected: Expect) {
+    let folder = tempfile::tempdir().expect("a folder");
+    fs::write(folder.path().join("a.log"), ENTRY_LOG).expect("a file");
+    fs::write(folder.path().join("b.log"), OTHER_LOG).expect("a file");
+    let output = Command::new(own_binaries().join("apricotctl"))
+        .args(more)
+        .args(["explain", request, "b.log", "a.log"])
+        .current_dir(folder.path())
+        .output()
+        .expect("the program starts");
+    let text = [output.stdout, output.stderr].concat();
+    expected.assert_eq(&String::from_utf8_lossy(&text));
+}
+
+#[test]
+fn cut_stream_is_traced_to_its_lost_worker() {
+    explain("cut1", &[], expect![[r#"
+           +0.000 a.log          entry: accepted prompt=6495 route="note"
+           +0.001 a.log          entry: granted prefill="w2" runner="w7"
+           +0.137 a.log          entry: first token age_ms=137
+           +5.468 a.log          entry: not answered reason="UpstreamFailed" status=502 verdict="may-have-run"
+           +7.615 b.log          upstream: is gone upstream="w7"
+        may have run: UpstreamFailed at w7, which is gone
+    "#]]);
+}
+
+#[test]
+fn refusal_is_traced_to_the_load() {
+    explain("full1", &[], expect![[r#"
+           +0.000 a.log          entry: accepted route="note"
+           +0.726 a.log          entry: not answered come_back_ms=3000 reason="Overloaded" status=429 verdict="not-run"
+        not run: there was no room that would have kept its target
+    "#]]);
+}
+
+#[test]
+fn lost_answer_names_the_worker_that_can_tell() {
+    explain("book1", &[], expect![[r#"
+           +0.000 a.log          entry: granted prefill="" runner="w9"
+           +0.001 a.log          entry: an upstream failed loss="Broken" runner="w9"
+           +0.002 a.log          entry: not answered reason="UpstreamFailed" status=502 verdict="may-have-run"
+        may have run: UpstreamFailed at w9, which still lives as far as the logs say
+    "#]]);
+}
+
+#[test]
+fn unknown_request_is_said_to_be_unknown() {
+    explain("nobody", &[], expect![[r#"
+        apricotctl: no line about request nobody: it reached no daemon of these logs, or its daemon ended before it wrote
+    "#]]);
+}
