--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -15,8 +15,6 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
 /// How long a request waits for idle room whose first token is late already.
 const LATE_PATIENCE: Duration = Duration::from_millis(2_500);
-/// The part of the capacity that late requests can expect in a burst.
-const IDLE_PART: f64 = 0.3;
 /// The earliest time for a request to come back that will be late: bursts last some seconds.
 const LATE_RETURN: Duration = Duration::from_secs(3);
 /// When to come back to a shard that has no upstream.
@@ -71,10 +69,9 @@
             let refusal = Refusal::not_run(RefusalReason::Overloaded);
             return Some(ShardMessage::Refuse(attempt, refusal));
         }
-        let waiting = match self.admit(now, &template, waiting) {
-            Ok(waiting) => waiting,
-            Err(refusal) => return Some(ShardMessage::Refuse(attempt, refusal)),
-        };
+        if let Some(refusal) = self.refuse_hopeless(now, &template, &waiting) {
+            return Some(ShardMessage::Refuse(attempt, refusal));
+        }
         self.queue.push(waiting, &grant);
         Some(ShardMessage::Queued(attempt))
     }
@@ -131,67 +128,30 @@
     }
 
     /// Refuses an ask whose turn would come too late, and books a time for it to come back.
-    fn is_hopeless(&self, now: Instant, template: &ServiceTemplate, waiting: &WaitingAsk) -> bool {
+    pub(super) fn refuse_hopeless(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingAsk,
+    ) -> Option<Refusal> {
         if !self.may_grant(now) || waiting.ask.resuming {
-            return false;
+            return None;
         }
         let account = &waiting.ask.account;
         let rate = self.account_rate(now, template, waiting);
-        let late = waiting.ask.is_late();
-        let forecast = template.token_time.is_some();
-        let free = match (forecast, late) {
-            (false, _) if !waiting.ask.returning => self.bookings.free_part(now, account),
-            // Those that come back are late and go last: nothing is kept for them.
-            (true, true) => IDLE_PART,
-            _ => 1.0,
+        let free = match waiting.ask.returning {
+            true => 1.0,
+            false => self.bookings.free_part(now, account),
         };
+        let late = waiting.ask.is_late();
         let ahead = self.queue.ahead_of(account, waiting.ask.returning, late) as f64 + 1.0;
         let wait = ahead / (rate * free).max(0.001);
         let patience = waiting.latest_start.saturating_duration_since(now);
-        wait > patience.as_secs_f64()
-    }
-
-    fn refuse_with_time(
-        &mut self,
-        now: Instant,
-        template: &ServiceTemplate,
-        waiting: &WaitingAsk,
-    ) -> Refusal {
-        let after = self.book(now, template, waiting);
-        Refusal::not_run(RefusalReason::Overloaded).after(after)
-    }
-
-    /// Lets an ask wait for its turn, or for idle room once it cannot be in time.
-    fn admit(
-        &mut self,
-        now: Instant,
-        template: &ServiceTemplate,
-        waiting: WaitingAsk,
-    ) -> Result<WaitingAsk, Refusal> {
-        if !self.is_hopeless(now, template, &waiting) {
-            return Ok(waiting);
-        }
-        match self.demote(now, template, &waiting) {
-            Some(late) => Ok(late),
-            None => Err(self.refuse_with_time(now, template, &waiting)),
-        }
-    }
-
-    /// Returns an ask that cannot be in time any more as one that waits for idle room, unless too
-    /// many do already.
-    fn demote(
-        &self,
-        now: Instant,
-        template: &ServiceTemplate,
-        waiting: &WaitingAsk,
-    ) -> Option<WaitingAsk> {
-        if template.token_time.is_none() || waiting.ask.is_late() || waiting.ask.resuming {
+        if wait <= patience.as_secs_f64() {
             return None;
         }
-        let ask = AskMessage { first_token_within: Duration::ZERO, ..waiting.ask.clone() };
-        let late =
-            WaitingAsk { ask, latest_start: now + LATE_PATIENCE, from: waiting.from.clone() };
-        (!self.is_hopeless(now, template, &late)).then_some(late)
+        let after = self.book(now, template, waiting);
+        Some(Refusal::not_run(RefusalReason::Overloaded).after(after))
     }
 
     /// Returns how many requests a second the shard can start for an account.
@@ -329,17 +289,10 @@
         }
         let Some(template) = self.template.clone() else { return };
         while let Some(waiting) = self.queue.pop_expired(now) {
-            let grant = self.grants.get(&waiting.ask.account).copied();
-            let from = waiting.from.clone();
-            let attempt = waiting.ask.attempt.clone();
-            let refusal = match (self.demote(now, &template, &waiting), grant) {
-                (Some(late), Some(grant)) => {
-                    self.queue.push(late, &grant);
-                    continue;
-                }
-                _ => self.refuse_with_time(now, &template, &waiting),
-            };
-            actions.push(ShardAction::Send(from, ShardMessage::Refuse(attempt, refusal)));
+            let wait = self.book(now, &template, &waiting);
+            let refusal = Refusal::not_run(RefusalReason::Overloaded).after(wait);
+            let message = ShardMessage::Refuse(waiting.ask.attempt, refusal);
+            actions.push(ShardAction::Send(waiting.from, message));
         }
     }
 
