--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -1,9 +1,12 @@
-//! The upstreams of a shard, what they hold, and the choice among them.
+//! The upstreams of a shard and what they hold.
 
-use crate::coordination::messages::{AskMessage, ClaimPhase, GrantMessage, SlotClaim};
+mod memory;
+mod placement;
+
+pub use memory::{MemoryNeed, MemoryPace, RunProgress};
+
+use crate::coordination::messages::{ClaimPhase, GrantMessage, SlotClaim};
 use crate::coordination::shard::estimate::UsableSlots;
-use crate::coordination::shard::forecast::{RunForecast, peak};
-use crate::coordination::shard::prefixes::PrefixMemory;
 use crate::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,22 +18,6 @@
 const FULL_REST: Duration = Duration::from_millis(100);
 /// How long a backup remembers what its owner has to cancel.
 const ORPHAN_MEMORY: Duration = Duration::from_secs(60);
-/// The part of a worker's memory that forecasts may fill; the rest is for answers that get longer
-/// than forecast.
-const FILLED_PART: f64 = 0.92;
-/// The part that requests may fill whose first token is late already, so that those still in time find
-/// room.
-const LATE_PART: f64 = 0.75;
-/// By how much less distance counts for prefill workers, whose results move in milliseconds.
-const PREFILL_NEARNESS: u64 = 10;
-/// How many prompts of one owner a prefill worker has at most; computing one takes a tenth of a second,
-/// and other owners send it prompts too.
-const PREFILL_QUEUE: u32 = 3;
-/// The weight of the newest measurement of a worker's speed.
-const SPEED_WEIGHT: f64 = 0.2;
-/// The load, in thousandths, that an upstream of this failure domain may have before an idle one
-/// of another is chosen.
-const FOREIGN_LOAD: u64 = 400;
 /// How long after a failed cancel the next one is sent.
 const CANCEL_RETRY: Duration = Duration::from_millis(500);
 
@@ -47,53 +34,6 @@
     pub cancelling: Option<BTreeMap<UpstreamName, Instant>>,
 }
 
-/// How far a run had come at one time.
-#[derive(Clone, Copy, Debug)]
-pub struct RunProgress {
-    /// When.
-    pub at: Instant,
-    /// The tokens that it had produced.
-    pub tokens: Tokens,
-}
-
-/// What a request is expected to hold of an engine's memory.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct MemoryNeed {
-    /// For the prompt.
-    pub prompt: Pieces,
-    /// For the answer.
-    pub answer: Pieces,
-}
-
-impl MemoryNeed {
-    /// Returns what it holds at its end.
-    pub fn total(self) -> Pieces {
-        Pieces(self.prompt.0.saturating_add(self.answer.0))
-    }
-}
-
-/// How memory is forecast: the tokens of a piece, and the time that one token takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MemoryPace {
-    /// The tokens that one piece holds.
-    pub piece: Tokens,
-    /// The time for one token.
-    pub token_time: Duration,
-}
-
-impl HeldClaim {
-    fn forecast(&self, now: Instant, pace: MemoryPace, piece_time: Duration) -> RunForecast {
-        let growth = f64::from(self.claim.growth.0);
-        let fixed = f64::from(self.claim.pieces.0) - growth;
-        let produced = self.progress.map_or(0.0, |progress| {
-            let since = now.saturating_duration_since(progress.at).as_secs_f64();
-            let known = f64::from(progress.tokens.0) / f64::from(pace.piece.0.max(1));
-            known + since / piece_time.as_secs_f64().max(1e-9)
-        });
-        RunForecast::new(fixed, produced, growth, piece_time)
-    }
-}
-
 #[derive(Debug)]
 struct PoolWorker {
     /// How much slower than expected its runs are.
@@ -350,45 +290,6 @@
         runners.any(|worker| worker.spec.pieces.is_none_or(|all| pieces <= all))
     }
 
-    /// Chooses upstreams for an ask, or returns nothing while there is no room.
-    pub fn place(
-        &self,
-        now: Instant,
-        ask: &AskMessage,
-        need: MemoryNeed,
-        template: &ServiceTemplate,
-        prefixes: &PrefixMemory,
-    ) -> Option<GrantMessage> {
-        let runner = self.choose_runner(now, ask, need)?;
-        let prefill = match self.needs_prefill() && !ask.prefilled {
-            true => match self.choose_prefill(now, ask, prefixes) {
-                None if !template.decode_computes => return None,
-                chosen => chosen,
-            },
-            false => None,
-        };
-        let phase = match (prefill.is_some(), ask.prefilled) {
-            (true, _) => ClaimPhase::Prefill,
-            (false, true) => ClaimPhase::Transfer,
-            (false, false) => ClaimPhase::Run,
-        };
-        let claim = SlotClaim {
-            account: ask.account.clone(),
-            attempt: ask.attempt.clone(),
-            growth: if self.pace.is_some() { need.answer } else { Pieces(0) },
-            phase,
-            pieces: need.total(),
-            prefill: prefill.map(|worker| worker.spec.name.clone()),
-            runner: runner.spec.name.clone(),
-            suspect: ask.suspect,
-        };
-        Some(GrantMessage {
-            claim,
-            prefill_address: prefill.map(|worker| worker.spec.address),
-            runner_address: runner.spec.address,
-        })
-    }
-
     /// Returns the grant that an attempt already has, for an ask that comes twice.
     pub fn grant_of(&self, attempt: &AttemptId) -> Option<GrantMessage> {
         let held = self.claims.get(attempt)?;
@@ -432,110 +333,6 @@
         self.workers.values().filter(|worker| worker.spec.role != UpstreamRole::Prefill)
     }
 
-    fn choose_runner(
-        &self,
-        now: Instant,
-        ask: &AskMessage,
-        need: MemoryNeed,
-    ) -> Option<&PoolWorker> {
-        let candidates = self.runners().filter(|worker| {
-            worker.is_usable(now)
-                && worker.slots < worker.spec.slots.0
-                && self.has_memory(now, worker, need, ask.is_late())
-                && !ask.avoid.contains(&worker.spec.name)
-                && !(ask.suspect && worker.suspects > 0)
-        });
-        let chosen = self.least_loaded(candidates, ask);
-        chosen.or_else(|| {
-            let resting = self.runners().filter(|worker| {
-                !worker.is_usable(now)
-                    && worker.is_last_resort()
-                    && !ask.avoid.contains(&worker.spec.name)
-            });
-            let any_usable = self.runners().any(|worker| worker.is_usable(now));
-            let soonest = resting.min_by_key(|worker| worker.rest_until);
-            soonest.filter(|_| !any_usable && !ask.suspect)
-        })
-    }
-
-    fn least_loaded<'a>(
-        &self,
-        candidates: impl Iterator<Item = &'a PoolWorker>,
-        ask: &AskMessage,
-    ) -> Option<&'a PoolWorker> {
-        // A suspect goes where the fewest others run; all else spreads transfers, then load.
-        candidates.min_by_key(|worker| {
-            let others = if ask.suspect { worker.slots } else { 0 };
-            (others, worker.transfers, worker.load() + self.distance(worker))
-        })
-    }
-
-    /// Returns whether a worker has the memory for one more request, now and until it ends.
-    fn has_memory(&self, now: Instant, worker: &PoolWorker, need: MemoryNeed, late: bool) -> bool {
-        let Some(all) = worker.spec.pieces else { return true };
-        let Some(pace) = self.pace else {
-            return worker.pieces + need.total().0 <= all.0;
-        };
-        let piece_time = (pace.token_time * pace.piece.0).mul_f64(worker.slowness);
-        let mut runs: Vec<_> = self
-            .claims
-            .values()
-            .filter(|held| held.claim.runner == worker.spec.name)
-            .map(|held| held.forecast(now, pace, piece_time))
-            .collect();
-        let (prompt, answer) = (f64::from(need.prompt.0), f64::from(need.answer.0));
-        runs.push(RunForecast::new(prompt, 0.0, answer, piece_time));
-        let part = if late { LATE_PART } else { FILLED_PART };
-        peak(&runs) <= f64::from(all.0) * part
-    }
-
-    /// Notes how far a run has come, and learns from it how fast its worker is.
-    pub fn note_progress(&mut self, now: Instant, attempt: &AttemptId, tokens: Tokens) {
-        let Some(pace) = self.pace else { return };
-        let Some(held) = self.claims.get_mut(attempt) else { return };
-        let before = held.progress.replace(RunProgress { at: now, tokens });
-        let Some(before) = before.filter(|before| tokens > before.tokens) else { return };
-        let Some(worker) = self.workers.get_mut(&held.claim.runner) else { return };
-        let expected = pace.token_time * (tokens.0 - before.tokens.0);
-        let seen = (now - before.at).as_secs_f64() / expected.as_secs_f64().max(1e-9);
-        worker.slowness += SPEED_WEIGHT * (seen.clamp(0.2, 20.0) - worker.slowness);
-    }
-
-    /// Returns by how much an upstream of another failure domain must be less loaded to be chosen.
-    fn distance(&self, worker: &PoolWorker) -> u64 {
-        match &self.home {
-            Some(home) if *home != worker.spec.domain => FOREIGN_LOAD,
-            _ => 0,
-        }
-    }
-
-    /// Returns how many prompts a prefill worker may have at the same time. Where decode workers can
-    /// compute prompts too, a short queue is worth more than a full one.
-    fn prefill_limit(&self, worker: &PoolWorker) -> u32 {
-        let all = worker.spec.slots.0;
-        if self.pace.is_some() { all.min(PREFILL_QUEUE) } else { all }
-    }
-
-    fn choose_prefill(
-        &self,
-        now: Instant,
-        ask: &AskMessage,
-        prefixes: &PrefixMemory,
-    ) -> Option<&PoolWorker> {
-        let candidates = self.workers.values().filter(|worker| {
-            worker.spec.role == UpstreamRole::Prefill
-                && worker.is_usable(now)
-                && worker.slots < self.prefill_limit(worker)
-                && !ask.avoid.contains(&worker.spec.name)
-        });
-        candidates.min_by_key(|worker| {
-            // One prompt more in the queue costs far more than a shared part computed again.
-            let hits = prefixes.hits(&ask.prefix, &worker.spec.name);
-            let load = worker.load() + self.distance(worker) / PREFILL_NEARNESS;
-            (self.pace.map(|_| load), std::cmp::Reverse(hits), load)
-        })
-    }
-
     fn count(&mut self, claim: &SlotClaim, add: bool) {
         let step = |value: &mut u32, by: u32| {
             *value = if add { *value + by } else { value.saturating_sub(by) };
--- a/src/transport/consul.rs
+++ b/src/transport/consul.rs
@@ -4,6 +4,7 @@
 use crate::coordination::orders::FencingNumber;
 use crate::coordination::store::{KeyStore, LeaseGrant, StoreError, StoreVersion, StoredValue};
 use crate::prelude::*;
+use crate::transport::client::plain_client;
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use futures::FutureExt;
@@ -58,12 +59,7 @@
     ///
     /// Returns an error when the HTTP client cannot be built.
     pub fn new(address: SocketAddr) -> Result<Self, reqwest::Error> {
-        let client = Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .connect_timeout(CALL_TIMEOUT)
-            .build()?;
+        let client = plain_client().connect_timeout(CALL_TIMEOUT).build()?;
         let budget = CallBudget { filled: Instant::now(), left: CALL_BURST };
         let root = format!("http://{address}/v1");
         Ok(Self { budget: Mutex::new(budget), client, root })
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -9,10 +9,13 @@
 pub mod directory;
 pub mod forward;
 pub mod frontend;
+pub mod probes;
 pub mod reply;
+pub mod request;
 pub mod roles;
 pub mod start;
 pub mod stream;
+pub mod templates;
 
 pub use dialect::{
     AnswerHead, AnswerKind, GatewayDialect, HeadFault, InboundHead, OutboundOrder, PromptShape,
--- /dev/null
+++ b/src/transport/gateway/request.rs
@@ -0,0 +1,217 @@
+//! One accepted request: its specification, its way through the flow, and its answer.
+
+use crate::coordination::flow::RequestSpec;
+use crate::prelude::*;
+use crate::state::routes::{RouteKind, RouteRule, RouteTable};
+use crate::transport::decisions::DecisionKind;
+use crate::transport::gateway::dialect::InboundHead;
+use crate::transport::gateway::forward::{ForwardWork, InboundRequest, UpstreamReply};
+use crate::transport::gateway::frontend::InFlightGuard;
+use crate::transport::gateway::reply::{AnswerEnd, ReplyBody, lost, refuse, status_of};
+use crate::transport::gateway::start::Gateway;
+use crate::transport::node::{DaemonNode, lock};
+use crate::transport::requests::{CallerPart, start_request};
+use crate::transport::spans::NoTrace;
+use http::Response;
+use std::sync::Arc;
+use tokio::sync::mpsc::Receiver;
+
+/// How often a shard's owner hears how far a run has come: a run takes some seconds.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
+/// How long a stream may be silent before its upstream counts as lost: callers leave soon after.
+const STREAM_STALL: Duration = Duration::from_millis(1_500);
+/// After how many latency targets a call that may be repeated is tried elsewhere; slow answers take
+/// up to one and a half.
+const CALL_STALL_TARGETS: u32 = 3;
+
+/// A request that has a route and has been read.
+pub struct ForwardedRequest {
+    /// When it came.
+    pub accepted: Instant,
+    /// When its caller's or its route's time is over.
+    pub deadline: Instant,
+    /// The gateway.
+    pub gateway: Arc<Gateway>,
+    /// Counts it as long as its answer is not complete.
+    pub guard: InFlightGuard,
+    /// What the caller sent.
+    pub inbound: InboundRequest,
+    /// The routes in force when it came.
+    pub routes: Arc<RouteTable>,
+    /// Its route.
+    pub rule: Arc<RouteRule>,
+}
+
+/// Logs how a request ended, and counts it out.
+struct AnswerLog {
+    accepted: Instant,
+    _guard: InFlightGuard,
+    label: String,
+    node: Arc<DaemonNode>,
+}
+
+impl AnswerLog {
+    fn end(self, end: AnswerEnd) {
+        let took = (self.node.clock.now() - self.accepted).as_millis() as u64;
+        let kind = match end {
+            AnswerEnd::Whole => DecisionKind::Answered,
+            AnswerEnd::Refused(_) => DecisionKind::Refused,
+            AnswerEnd::CallerLeft => DecisionKind::CallerLeft,
+        };
+        if !self.node.decisions.takes(kind) {
+            return;
+        }
+        let request = self.label.as_str();
+        match end {
+            AnswerEnd::CallerLeft => {
+                log::info!(request, took_ms = took; "entry: the caller left");
+            }
+            AnswerEnd::Whole => log::info!(request, took_ms = took; "entry: answered"),
+            AnswerEnd::Refused(refusal) => log::info!(
+                request, took_ms = took, status = status_of(&refusal).as_u16(),
+                reason:? = refusal.reason, verdict:% = refusal.verdict,
+                come_back_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64);
+                "entry: not answered"
+            ),
+        }
+    }
+}
+
+impl ForwardedRequest {
+    /// Runs the request and returns its answer; a stream's events follow as they come.
+    pub async fn serve(self) -> Response<ReplyBody> {
+        let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
+        let service = self.rule.pick(rand::random()).cloned();
+        let Some(service) = service else { return refuse(&no_upstream) };
+        let Some(spec) = self.build_spec(&service) else { return refuse(&no_upstream) };
+        self.log_accepted(&service, &spec);
+        let label = self.inbound.head.label.clone();
+        let node = self.gateway.node.clone();
+        let work = Arc::new(ForwardWork::new(self.gateway, self.rule.kind, self.inbound));
+        let parts = start_request(&node, service, &label, spec, work.clone(), Box::new(NoTrace));
+        let log = AnswerLog { accepted: self.accepted, _guard: self.guard, label, node };
+        answer(parts, &work, log).await
+    }
+
+    fn log_accepted(&self, service: &ServiceName, spec: &RequestSpec) {
+        if self.gateway.node.decisions.takes(DecisionKind::Accepted) {
+            log::info!(
+                request = self.inbound.head.label.as_str(), id:% = spec.id,
+                route = self.rule.name.as_str(), service:% = service,
+                revision = self.routes.revision.0, prompt = spec.prompt.0, answer = spec.answer.0,
+                left_ms = (self.deadline - self.accepted).as_millis() as u64;
+                "entry: accepted"
+            );
+        }
+    }
+
+    fn build_spec(&self, service: &ServiceName) -> Option<RequestSpec> {
+        let node = &self.gateway.node;
+        let fleet = node.fleet();
+        let template = fleet.templates.get(service)?;
+        let engine = self.routes.services.get(service)?.engine;
+        let InboundHead { prompt, resume_after, .. } = &self.inbound.head;
+        let shape = prompt.as_ref();
+        let length = shape.map_or(Tokens(0), |shape| shape.prompt);
+        let longest = shape.map_or(Tokens(0), |shape| shape.answer);
+        let answer = shape.and_then(|shape| shape.hint).unwrap_or(longest).min(longest);
+        let path = self.inbound.target.path().as_bytes();
+        let own_part = shape.and_then(|shape| shape.prefix.last()).copied().unwrap_or_default();
+        let fingerprint = Fingerprint::of(&[
+            service.as_str().as_bytes(),
+            path,
+            &own_part.to_le_bytes(),
+            &self.inbound.body,
+        ]);
+        let retries = self.gateway.retry_budget(service);
+        retries.note_request(self.accepted);
+        Some(RequestSpec {
+            account: self.gateway.account.clone(),
+            answer,
+            between_token_target: self.rule.gap_target.unwrap_or_default(),
+            crashes: lock(&node.crashes).weight(self.accepted, &fingerprint),
+            deadline: self.deadline,
+            domains: self.gateway.domains_of(template),
+            eviction: template.eviction,
+            fingerprint,
+            first_index: *resume_after,
+            first_token_due: self.accepted + self.rule.latency_target,
+            id: node.next_request(),
+            longest,
+            link_time: template.link_tokens_per_second.time_for(length),
+            owed: !self.rule.kind.is_stream() && !self.rule.kind.is_repeatable(),
+            prefill_time: template.prefill_tokens_per_second.time_for(length),
+            prefix: shape.map(|shape| shape.prefix.clone()).unwrap_or_default(),
+            progress_period: self.rule.kind.is_stream().then_some(PROGRESS_PERIOD),
+            prompt: length,
+            repeatable: self.rule.kind.is_repeatable(),
+            retries,
+            returning: false,
+            run_limit: self.rule.run_limit,
+            stall_limit: stall_limit(&self.rule),
+            tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
+        })
+    }
+}
+
+/// Waits until it is known how the answer begins.
+async fn answer(
+    mut parts: Receiver<CallerPart>,
+    work: &ForwardWork,
+    log: AnswerLog,
+) -> Response<ReplyBody> {
+    loop {
+        match parts.recv().await {
+            Some(CallerPart::Opened | CallerPart::Answer(_)) => {}
+            Some(CallerPart::Text(text)) => {
+                let ended = Box::new(move |end| log.end(end));
+                let body = ReplyBody::Events { ended: Some(ended), first: Some(text), parts };
+                return respond(work.reply(), body);
+            }
+            Some(CallerPart::Finished) => {
+                log.end(AnswerEnd::Whole);
+                return whole_reply(work.reply());
+            }
+            Some(CallerPart::Refused(refusal)) => return end_refused(work, log, refusal),
+            None => return end_refused(work, log, lost()),
+        }
+    }
+}
+
+fn end_refused(work: &ForwardWork, log: AnswerLog, refusal: Refusal) -> Response<ReplyBody> {
+    let reply = work.reply().filter(|_| refusal.verdict != Verdict::NotRun);
+    match reply.filter(|reply| reply.status.is_server_error()) {
+        // The upstream's own failure says more than this daemon could.
+        Some(reply) => {
+            log.end(AnswerEnd::Whole);
+            whole_reply(Some(reply))
+        }
+        None => {
+            log.end(AnswerEnd::Refused(refusal));
+            refuse(&refusal)
+        }
+    }
+}
+
+fn whole_reply(reply: Option<UpstreamReply>) -> Response<ReplyBody> {
+    let body = reply.as_ref().map(|reply| reply.body.clone()).unwrap_or_default();
+    respond(reply, ReplyBody::whole(body))
+}
+
+fn respond(reply: Option<UpstreamReply>, body: ReplyBody) -> Response<ReplyBody> {
+    let Some(reply) = reply else { return refuse(&lost()) };
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
+}
+
+/// Returns after what silence an upstream counts as lost. A call that runs once must wait: another
+/// upstream may not run it anyway.
+fn stall_limit(rule: &RouteRule) -> Option<Duration> {
+    match rule.kind {
+        RouteKind::Stream { .. } => Some(STREAM_STALL),
+        RouteKind::Idempotent => Some(rule.latency_target * CALL_STALL_TARGETS),
+        RouteKind::NonIdempotent => None,
+    }
+}
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -6,16 +6,16 @@
 use crate::coordination::store::KeyStore;
 use crate::prelude::*;
 use crate::protocol::codec::PeerKey;
-use crate::state::fleet::{AccountGrant, AccountParameters};
-use crate::state::routes::{CallerLimits, EngineSpec, RouteKeeper, RoutedService};
+use crate::state::routes::{CallerLimits, RouteKeeper};
 use crate::transport::build::{NodeParts, build_node};
 use crate::transport::claims::send_summaries;
 use crate::transport::engine::UpstreamClient;
-use crate::transport::error::{CliError, CliResult};
+use crate::transport::error::CliResult;
 use crate::transport::gateway::channels::ChannelPool;
 use crate::transport::gateway::dialect::GatewayDialect;
 use crate::transport::gateway::directory::{DirectorySource, follow_directory, insist};
 use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
+use crate::transport::gateway::probes::{install_recorder, serve_probes};
 use crate::transport::gateway::roles::{RolePort, plan_roles};
 use crate::transport::gossip;
 use crate::transport::links::serve_links;
@@ -23,16 +23,8 @@
 use crate::transport::runs::ConnectionCancel;
 use crate::transport::settings::{DaemonSettings, LogFormat, LogLevel};
 use crate::transport::shards::tick_shards;
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use std::collections::{BTreeMap, BTreeSet};
-use std::convert::Infallible;
+use http::StatusCode;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -48,19 +40,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// How often idle connections are looked over.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
-/// The speed that a prefill worker is expected to have, from the engines' data sheets.
-const PREFILL_RATE: TokenRate = TokenRate(50_000.0);
-/// The time that one token of an answer is expected to take, from the engines' data sheets.
-const TOKEN_TIME: Duration = Duration::from_micros(700);
-/// The tokens in one block of engine memory.
-const BLOCK: Tokens = Tokens(16);
 /// The account for which all callers of a deployment without accounts are counted.
 const SOLE_ACCOUNT: &str = "callers";
-/// How many requests may wait in one shard.
-const MAX_WAITING: u32 = 1000;
-
-/// The bounds of latency histograms, in seconds, around the targets of plain calls and streams.
-const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.6, 0.9, 2.0, 5.0, 14.0];
 
 /// The settings of a gateway.
 #[derive(Clone, Debug)]
@@ -125,7 +106,8 @@
     /// Tells of routes, upstreams and hosts.
     pub source: Arc<dyn DirectorySource>,
     retry_limits: RetryLimits,
-    turns: AtomicU64,
+    /// Counts the configurations that shards were given.
+    pub(super) turns: AtomicU64,
 }
 
 /// The place of a gateway that may not have started yet, with what outlives no connection.
@@ -186,12 +168,7 @@
     let readiness = TcpListener::bind(settings.readiness).await?;
     let peers = TcpListener::bind(settings.peer).await?;
     let metrics = TcpListener::bind(settings.metrics).await?;
-    let recorder = PrometheusBuilder::new()
-        .set_buckets(&LATENCY_BUCKETS)
-        .map_err(|error| CliError::Server(error.to_string()))?
-        .build_recorder();
-    let handle = recorder.handle();
-    metrics::set_global_recorder(recorder).map_err(|e| CliError::Server(e.to_string()))?;
+    let handle = install_recorder()?;
     log::info!(
         host:% = settings.host, domain:% = settings.domain, frontend:% = settings.frontend,
         version = env!("CARGO_PKG_VERSION");
@@ -327,80 +304,6 @@
             .or_insert_with(|| Arc::new(RetryBudget::new(self.retry_limits, hosts)));
         budget.clone()
     }
-
-    /// Returns the failure domains to ask for upstreams of a service, the own one first.
-    pub fn domains_of(&self, template: &ServiceTemplate) -> Vec<DomainName> {
-        match template.placement {
-            PlacementScope::Entry => vec![self.node.settings.domain.clone()],
-            PlacementScope::Domain => {
-                let served: BTreeSet<_> =
-                    template.upstreams.iter().map(|upstream| &upstream.domain).collect();
-                let domains = lock(&self.node.members).domains();
-                domains.into_iter().filter(|domain| served.contains(domain)).collect()
-            }
-        }
-    }
-
-    /// Gives the shards what routes and registry say now.
-    pub fn configure(self: &Arc<Self>) {
-        let Some(routes) = lock(&self.routes).current().cloned() else { return };
-        let templates: Vec<_> = {
-            let registry = lock(&self.registry);
-            let services = routes.services.iter();
-            let now = self.node.clock.now();
-            services.map(|(name, service)| build_template(now, name, service, &registry)).collect()
-        };
-        let grant = AccountGrant { ceiling: 1.0, max_waiting: MAX_WAITING, share: 1.0 };
-        let account = AccountParameters {
-            account: self.account.clone(),
-            key_digest: String::new(),
-            services: routes.services.keys().map(|name| (name.clone(), grant)).collect(),
-        };
-        let turn = Revision(self.turns.fetch_add(1, Ordering::Relaxed) + 1);
-        let config = Arc::new(FleetConfig::assemble(turn, [account], templates));
-        lock(&self.node.config).adopt(self.node.clock.now(), config.clone());
-        self.node.configure_shards(&config);
-    }
-}
-
-fn build_template(
-    now: Instant,
-    name: &ServiceName,
-    service: &RoutedService,
-    registry: &UpstreamRegistry,
-) -> ServiceTemplate {
-    let engine = service.engine.as_ref();
-    let upstreams = registry.of_service(name).map(|(id, record)| UpstreamSpec {
-        address: record.address,
-        checks_fencing: false,
-        domain: record.domain.clone(),
-        leaving: record.leaving || registry.is_changing(now, id, record),
-        life: record.life,
-        name: id.clone(),
-        pieces: engine.map(|engine| Pieces(engine.memory.0 / BLOCK.0)),
-        role: record.role,
-        slots: record.slots,
-    });
-    let rate = |pick: fn(&EngineSpec) -> TokenRate| engine.map(pick).unwrap_or_default();
-    ServiceTemplate {
-        adapters: None,
-        between_token_target: if engine.is_some() { TOKEN_TIME } else { Duration::ZERO },
-        deadline: Duration::MAX,
-        decode_computes: engine.is_some(),
-        eviction: engine.map_or(Duration::ZERO, |engine| engine.eviction),
-        first_token_target: Duration::MAX,
-        link_tokens_per_second: rate(|engine| engine.link),
-        models: BTreeSet::new(),
-        non_idempotent: Vec::new(),
-        piece_tokens: BLOCK,
-        placement: if engine.is_some() { PlacementScope::Domain } else { PlacementScope::Entry },
-        prefill_tokens_per_second: rate(|_| PREFILL_RATE),
-        retry_window: Duration::ZERO,
-        service: name.clone(),
-        shared_prefill: true,
-        token_time: engine.map(|_| TOKEN_TIME),
-        upstreams: upstreams.collect(),
-    }
 }
 
 /// Returns the settings of the parts that the gateway shares with the product's own interface.
@@ -427,33 +330,3 @@
         store: settings.store,
     }
 }
-
-/// Answers every request on a listener with what `reply` says then.
-async fn serve_probes<F>(listener: TcpListener, reply: F)
-where
-    F: Fn() -> (StatusCode, String) + Clone + Send + 'static,
-{
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("daemon: accepting a probe failed: {error}");
-                tokio::time::sleep(DRAIN_CHECK).await;
-                continue;
-            }
-        };
-        let reply = reply.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let (status, text) = reply();
-                let mut response = Response::new(Full::new(Bytes::from(text)));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served = Builder::new().serve_connection(TokioIo::new(stream), service).await;
-            if let Err(error) = served {
-                log::debug!("daemon: a probe ended: {error}");
-            }
-        });
-    }
-}
--- /dev/null
+++ b/src/transport/gateway/templates.rs
@@ -0,0 +1,96 @@
+//! Turns routes and registered upstreams into the templates that shards are configured with.
+
+use crate::coordination::registry::UpstreamRegistry;
+use crate::prelude::*;
+use crate::state::fleet::{AccountGrant, AccountParameters};
+use crate::state::routes::{EngineSpec, RoutedService};
+use crate::transport::gateway::start::Gateway;
+use crate::transport::node::lock;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// The speed that a prefill worker is expected to have, from the engines' data sheets.
+const PREFILL_RATE: TokenRate = TokenRate(50_000.0);
+/// The time that one token of an answer is expected to take, from the engines' data sheets.
+const TOKEN_TIME: Duration = Duration::from_micros(700);
+/// The tokens in one block of engine memory.
+const BLOCK: Tokens = Tokens(16);
+/// How many requests may wait in one shard.
+const MAX_WAITING: u32 = 1000;
+
+impl Gateway {
+    /// Returns the failure domains to ask for upstreams of a service, the own one first.
+    pub fn domains_of(&self, template: &ServiceTemplate) -> Vec<DomainName> {
+        match template.placement {
+            PlacementScope::Entry => vec![self.node.settings.domain.clone()],
+            PlacementScope::Domain => {
+                let served: BTreeSet<_> =
+                    template.upstreams.iter().map(|upstream| &upstream.domain).collect();
+                let domains = lock(&self.node.members).domains();
+                domains.into_iter().filter(|domain| served.contains(domain)).collect()
+            }
+        }
+    }
+
+    /// Gives the shards what routes and registry say now.
+    pub fn configure(self: &Arc<Self>) {
+        let Some(routes) = lock(&self.routes).current().cloned() else { return };
+        let templates: Vec<_> = {
+            let registry = lock(&self.registry);
+            let services = routes.services.iter();
+            let now = self.node.clock.now();
+            services.map(|(name, service)| build_template(now, name, service, &registry)).collect()
+        };
+        let grant = AccountGrant { ceiling: 1.0, max_waiting: MAX_WAITING, share: 1.0 };
+        let account = AccountParameters {
+            account: self.account.clone(),
+            key_digest: String::new(),
+            services: routes.services.keys().map(|name| (name.clone(), grant)).collect(),
+        };
+        let turn = Revision(self.turns.fetch_add(1, Ordering::Relaxed) + 1);
+        let config = Arc::new(FleetConfig::assemble(turn, [account], templates));
+        lock(&self.node.config).adopt(self.node.clock.now(), config.clone());
+        self.node.configure_shards(&config);
+    }
+}
+
+fn build_template(
+    now: Instant,
+    name: &ServiceName,
+    service: &RoutedService,
+    registry: &UpstreamRegistry,
+) -> ServiceTemplate {
+    let engine = service.engine.as_ref();
+    let upstreams = registry.of_service(name).map(|(id, record)| UpstreamSpec {
+        address: record.address,
+        checks_fencing: false,
+        domain: record.domain.clone(),
+        leaving: record.leaving || registry.is_changing(now, id, record),
+        life: record.life,
+        name: id.clone(),
+        pieces: engine.map(|engine| Pieces(engine.memory.0 / BLOCK.0)),
+        role: record.role,
+        slots: record.slots,
+    });
+    let rate = |pick: fn(&EngineSpec) -> TokenRate| engine.map(pick).unwrap_or_default();
+    ServiceTemplate {
+        adapters: None,
+        between_token_target: if engine.is_some() { TOKEN_TIME } else { Duration::ZERO },
+        deadline: Duration::MAX,
+        decode_computes: engine.is_some(),
+        eviction: engine.map_or(Duration::ZERO, |engine| engine.eviction),
+        first_token_target: Duration::MAX,
+        link_tokens_per_second: rate(|engine| engine.link),
+        models: BTreeSet::new(),
+        non_idempotent: Vec::new(),
+        piece_tokens: BLOCK,
+        placement: if engine.is_some() { PlacementScope::Domain } else { PlacementScope::Entry },
+        prefill_tokens_per_second: rate(|_| PREFILL_RATE),
+        retry_window: Duration::ZERO,
+        service: name.clone(),
+        shared_prefill: true,
+        token_time: engine.map(|_| TOKEN_TIME),
+        upstreams: upstreams.collect(),
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod build;
 pub mod claims;
+pub mod client;
 pub mod consul;
 #[cfg(feature = "interface")]
 pub mod daemon;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -37,38 +37,54 @@
 
 #[test]
 fn cut_stream_is_traced_to_its_lost_worker() {
-    explain("cut1", &[], expect![[r#"
+    explain(
+        "cut1",
+        &[],
+        expect![[r#"
            +0.000 a.log          entry: accepted prompt=6495 route="note"
            +0.001 a.log          entry: granted prefill="w2" runner="w7"
            +0.137 a.log          entry: first token age_ms=137
            +5.468 a.log          entry: not answered reason="UpstreamFailed" status=502 verdict="may-have-run"
            +7.615 b.log          upstream: is gone upstream="w7"
         may have run: UpstreamFailed at w7, which is gone
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn refusal_is_traced_to_the_load() {
-    explain("full1", &[], expect![[r#"
+    explain(
+        "full1",
+        &[],
+        expect![[r#"
            +0.000 a.log          entry: accepted route="note"
            +0.726 a.log          entry: not answered come_back_ms=3000 reason="Overloaded" status=429 verdict="not-run"
         not run: there was no room that would have kept its target
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn lost_answer_names_the_worker_that_can_tell() {
-    explain("book1", &[], expect![[r#"
+    explain(
+        "book1",
+        &[],
+        expect![[r#"
            +0.000 a.log          entry: granted prefill="" runner="w9"
            +0.001 a.log          entry: an upstream failed loss="Broken" runner="w9"
            +0.002 a.log          entry: not answered reason="UpstreamFailed" status=502 verdict="may-have-run"
         may have run: UpstreamFailed at w9, which still lives as far as the logs say
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn unknown_request_is_said_to_be_unknown() {
-    explain("nobody", &[], expect![[r#"
+    explain(
+        "nobody",
+        &[],
+        expect![[r#"
         apricotctl: no line about request nobody: it reached no daemon of these logs, or its daemon ended before it wrote
-    "#]]);
+    "#]],
+    );
 }
