Tell an upstream that died from one that broke a connection

After a broken run the address is tried once: refused means that the worker has died, which counts against the request's digest everywhere. Silence does not, since it may be the network's.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -17,12 +17,16 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// The longest answer that is kept whole before it is passed on, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
+/// How long an upstream may take to show that it still listens.
+const DIAGNOSIS_LIMIT: Duration = Duration::from_millis(100);
 /// The longest answer of a prefill worker, in bytes.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
 
@@ -262,7 +266,13 @@
         order: &'a RunOrder,
         events: &'a UnboundedSender<FlowEvent>,
     ) -> BoxFuture<'a, Result<FlowEvent, UpstreamLoss>> {
-        Box::pin(self.run_at(order, events))
+        Box::pin(async move {
+            let last = self.run_at(order, events).await;
+            match last {
+                Err(UpstreamLoss::Broken) => Err(diagnose(order.site.address).await),
+                last => last,
+            }
+        })
     }
 
     fn cancel<'a>(&'a self, _: &'a [SocketAddr], _: &'a AttemptId) -> BoxFuture<'a, bool> {
@@ -271,6 +281,15 @@
     }
 }
 
+/// Finds out whether an upstream that broke a connection has died: then nothing listens there. Silence
+/// may be the network's, so it does not count as a death.
+async fn diagnose(address: SocketAddr) -> UpstreamLoss {
+    match tokio::time::timeout(DIAGNOSIS_LIMIT, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => UpstreamLoss::Died,
+        _ => UpstreamLoss::Broken,
+    }
+}
+
 fn split(answer: ChannelAnswer) -> (UpstreamReply, Incoming, UpstreamChannel) {
     let (parts, body) = answer.response.into_parts();
     let mut headers = parts.headers;
