Take changed settings over while running; keep a host's registration alive

A host registered once under a lease of ten minutes: after that a new host would have found nobody by the store. It registers again every 200 s.

The settings file is read on SIGHUP and every 2 s, for files that change without a signal; the retry budget and the time to stop take effect, other keys wait for the next start and a line says so (changed_settings_are_taken_over_and_invalid_ones_left_out).

--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -66,6 +66,11 @@
         window.requests.push_back(now);
     }
 
+    /// Puts new limits in force; what was sent already counts against them.
+    pub fn set_limits(&self, limits: RetryLimits) {
+        self.window.lock().unwrap_or_else(PoisonError::into_inner).limits = limits;
+    }
+
     /// Notes how many daemons share the budget.
     pub fn set_hosts(&self, hosts: usize) {
         self.window.lock().unwrap_or_else(PoisonError::into_inner).hosts = hosts;
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -23,4 +23,4 @@
 };
 pub use directory::{DirectoryChange, DirectoryNews, DirectorySnapshot, DirectorySource};
 pub use roles::RolePort;
-pub use start::{GatewaySettings, GatewaySetup, run_gateway};
+pub use start::{GatewaySettings, GatewaySetup, SettingsReader, run_gateway};
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -38,13 +38,17 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// How long before the platform kills the process it ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// How often the settings are read, for files that change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+/// How often this host registers again, a third of the time that its record lives.
+const ENROLL_PERIOD: Duration = Duration::from_secs(200);
 /// How often idle connections are looked over.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 /// The account for which all callers of a deployment without accounts are counted.
 const SOLE_ACCOUNT: &str = "callers";
 
 /// The settings of a gateway.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// The failure domain that this host stands in.
     pub domain: DomainName,
@@ -68,10 +72,15 @@
     pub store: SocketAddr,
 }
 
+/// Reads and checks the settings anew.
+pub type SettingsReader = Arc<dyn Fn() -> CliResult<GatewaySettings> + Send + Sync>;
+
 /// A gateway's settings and its ways to the deployment around it.
 pub struct GatewaySetup {
     /// Reads and writes headers.
     pub dialect: Arc<dyn GatewayDialect>,
+    /// Reads the settings anew.
+    pub reader: SettingsReader,
     /// Keeps plans of roles and gives orders.
     pub roles: Arc<dyn RolePort>,
     /// The settings.
@@ -84,7 +93,7 @@
 
 /// What all requests of a gateway share.
 ///
-/// Lock order: `routes`, `registry`, `retries`; none is held while a lock of [`DaemonNode`] is
+/// Lock order: `routes`, `registry`, `retry_limits`, `retries`; none is held while a lock of [`DaemonNode`] is
 /// taken, or across an await.
 pub struct Gateway {
     /// The account for which callers are counted.
@@ -105,7 +114,7 @@
     pub routes: Mutex<RouteKeeper>,
     /// Tells of routes, upstreams and hosts.
     pub source: Arc<dyn DirectorySource>,
-    retry_limits: RetryLimits,
+    retry_limits: Mutex<RetryLimits>,
     /// Counts the configurations that shards were given.
     pub(super) turns: AtomicU64,
 }
@@ -162,7 +171,8 @@
 ///
 /// Returns an error when an address cannot be bound.
 pub async fn run_gateway(setup: GatewaySetup) -> CliResult<()> {
-    let settings = setup.settings.clone();
+    let mut settings = setup.settings.clone();
+    let reader = setup.reader.clone();
     let slot = Arc::new(GatewaySlot::new());
     let callers = TcpListener::bind(settings.frontend).await?;
     let readiness = TcpListener::bind(settings.readiness).await?;
@@ -185,12 +195,15 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let mut changes = tokio::time::interval(SETTINGS_PERIOD);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => log::info!("daemon: the settings are read at the next start"),
+            _ = hangup.recv() => log::info!("daemon: reads its settings"),
+            _ = changes.tick() => {}
         }
+        reload(&slot, &reader, &mut settings);
     }
     starting.abort();
     drain(&slot, &settings).await;
@@ -200,6 +213,38 @@
     Ok(())
 }
 
+/// Takes over settings that have changed; those that cannot be used are left out with a line.
+fn reload(slot: &GatewaySlot, reader: &SettingsReader, settings: &mut GatewaySettings) {
+    let new = match reader() {
+        Ok(new) if new == *settings => return,
+        Ok(new) => new,
+        Err(error) => {
+            return log::error!("daemon: the settings stay as they are: {error}");
+        }
+    };
+    let kept = GatewaySettings { grace: new.grace, retries: new.retries, ..settings.clone() };
+    if kept != new {
+        log::warn!("daemon: addresses, names and the news limit change with the next start");
+    }
+    log::info!(grace:? = new.grace, retries:? = new.retries; "daemon: settings taken over");
+    *settings = new;
+    if let Some(gateway) = slot.gateway() {
+        gateway.limit_retries(settings.retries);
+    }
+}
+
+/// Keeps this host's registration alive, by which new hosts find it.
+async fn stay_enrolled(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(ENROLL_PERIOD).await;
+        let settings = &gateway.node.settings;
+        insist("registering this host again", || {
+            gateway.source.enroll(&settings.host, settings.peer)
+        })
+        .await;
+    }
+}
+
 /// Gives up readiness and duties, and takes what the balancer still sends.
 async fn drain(slot: &Arc<GatewaySlot>, settings: &GatewaySettings) {
     log::info!(host:% = settings.host; "daemon: stops after its requests in flight");
@@ -231,7 +276,7 @@
 }
 
 async fn start(setup: GatewaySetup, slot: Arc<GatewaySlot>, peers: TcpListener) -> CliResult<()> {
-    let GatewaySetup { dialect, roles, settings, source, store } = setup;
+    let GatewaySetup { dialect, roles, settings, source, store, .. } = setup;
     let key = insist("registering this host", || source.enroll(&settings.host, settings.peer));
     let key = key.await;
     let snapshot = insist("reading the configuration", || source.load()).await;
@@ -255,7 +300,7 @@
         node,
         registry: Mutex::new(UpstreamRegistry::default()),
         retries: Mutex::new(BTreeMap::new()),
-        retry_limits: settings.retries,
+        retry_limits: Mutex::new(settings.retries),
         routes: Mutex::new(RouteKeeper::default()),
         source,
         turns: AtomicU64::new(0),
@@ -267,6 +312,7 @@
     }
     tokio::spawn(follow_directory(gateway.clone(), seen));
     tokio::spawn(plan_roles(gateway.clone(), roles));
+    tokio::spawn(stay_enrolled(gateway.clone()));
     look_after(gateway, slot).await;
     Ok(())
 }
@@ -295,13 +341,20 @@
         lock(&self.node.members).running().count()
     }
 
+    /// Puts new limits of retries in force.
+    fn limit_retries(&self, limits: RetryLimits) {
+        *lock(&self.retry_limits) = limits;
+        lock(&self.retries).values().for_each(|budget| budget.set_limits(limits));
+    }
+
     /// Returns this daemon's part of a service's retry budget.
     pub fn retry_budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let hosts = self.host_count();
+        let limits = *lock(&self.retry_limits);
         let mut retries = lock(&self.retries);
         let budget = retries
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(RetryBudget::new(self.retry_limits, hosts)));
+            .or_insert_with(|| Arc::new(RetryBudget::new(limits, hosts)));
         budget.clone()
     }
 }
