--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -134,6 +134,12 @@
         // A store that did not answer is asked for what is there already, which takes it no time.
         let wait = if away { Duration::ZERO } else { WATCH_WAIT };
         let news = gateway.source.follow(seen, wait).await;
+        if news.is_ok() && away {
+            away = false;
+            log::info!("store: it answers again");
+            // Before anything is taken: what is missing may have lapsed during the outage.
+            gateway.hear_registry([RegistryEvent::StoreBack]);
+        }
         let outcome = match news {
             Ok(DirectoryNews::Changes(changes, next)) => {
                 seen = seen.max(next);
@@ -151,11 +157,6 @@
         };
         match outcome {
             Ok(changes) => {
-                if away {
-                    away = false;
-                    log::info!("store: it answers again");
-                    gateway.hear_registry([RegistryEvent::StoreBack]);
-                }
                 pause.reset();
                 gateway.take_changes(changes);
                 let passed = gateway.node.clock.now() - began;
@@ -182,9 +183,11 @@
             self.take_routes(routes);
         }
         let now = self.node.clock.now();
-        let plans = snapshot.plans.into_iter();
+        let known = |service: &ServiceName| lock(&self.registry).is_planned(service);
+        let plans = snapshot.plans.into_iter().filter(|(service, _)| !known(service));
+        let plans: Vec<_> = plans.collect();
         self.hear_registry(
-            plans.map(|(service, plan)| {
+            plans.into_iter().map(|(service, plan)| {
                 RegistryEvent::Planned(service, FollowedPlan::old(now, plan))
             }),
         );
