Say once that a failed read changes nothing; free a prompt without a verdict

No change of behaviour; clippy, gateway, deploy, config_keeper, configuration, boundary, flow and shard tests passed.

--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -53,6 +53,16 @@
     Invalid(String),
 }
 
+impl StoreError {
+    /// Returns the error of a read, which changes nothing whatever became of its answer.
+    pub fn without_effect(self) -> Self {
+        match self {
+            Self::Unknown(reason) => Self::Unreachable(reason),
+            other => other,
+        }
+    }
+}
+
 /// The calls that this system makes.
 pub trait KeyStore: Send + Sync {
     /// Reads a value.
--- a/src/transport/consul.rs
+++ b/src/transport/consul.rs
@@ -105,7 +105,7 @@
     }
 
     async fn read(&self, request: RequestBuilder) -> Result<Option<StoredValue>, StoreError> {
-        let response = self.send(request).await.map_err(without_effect)?;
+        let response = self.send(request).await.map_err(StoreError::without_effect)?;
         if response.status().as_u16() == 404 {
             return Ok(None);
         }
@@ -150,14 +150,6 @@
     Ok(StoredValue { bytes, index, lock_index: pair.lock_index, version })
 }
 
-/// A read changes nothing, whatever became of its answer.
-fn without_effect(error: StoreError) -> StoreError {
-    match error {
-        StoreError::Unknown(reason) => StoreError::Unreachable(reason),
-        other => other,
-    }
-}
-
 impl KeyStore for ConsulStore {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
         let request = self.client.get(self.url(key)).timeout(CALL_TIMEOUT);
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -165,16 +165,15 @@
     }
 
     /// Frees a computed prompt that nobody will fetch, before its worker evicts it by itself.
-    async fn free_kept(&self) -> bool {
-        let Some(kept) = lock(&self.kept).take() else { return true };
+    async fn free_kept(&self) {
+        let Some(kept) = lock(&self.kept).take() else { return };
         let path = self.gateway.dialect.handle_path(&kept.handle);
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::DELETE;
         match path.parse() {
             Ok(target) => *request.uri_mut() = target,
             Err(error) => {
-                log::warn!("entry: a result of {} cannot be freed: {error}", kept.upstream);
-                return true;
+                return log::warn!("entry: a result of {} cannot be freed: {error}", kept.upstream);
             }
         }
         let most = self.gateway.connection_limit(&kept.upstream);
@@ -182,7 +181,6 @@
         if let Err(loss) = self.gateway.channels.send(&key, most, request).await {
             log::debug!("entry: a result of {} is evicted by itself: {loss:?}", key.1);
         }
-        true
     }
 
     /// Passes a stream's events on as they come.
@@ -277,7 +275,10 @@
 
     fn cancel<'a>(&'a self, _: &'a [SocketAddr], _: &'a AttemptId) -> BoxFuture<'a, bool> {
         // The connection has been closed with the attempt; what is left is an unused prompt.
-        Box::pin(self.free_kept())
+        Box::pin(async {
+            self.free_kept().await;
+            true
+        })
     }
 }
 
