--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -226,7 +226,8 @@
         self.cached_prefill = active.cached_prefill.clone().filter(|_| prefill_survives);
         let reuses_prefill = self.usable_prefill(now).is_some();
         let no_token = !active.token_received;
-        let not_executed = matches!(failure, UpstreamFailure::NothingSent | UpstreamFailure::Full);
+        let not_sent = matches!(failure, UpstreamFailure::NothingSent | UpstreamFailure::Withheld);
+        let not_executed = not_sent || failure == UpstreamFailure::Full;
         let may_have_executed = active.running && !not_executed;
         let failed_upstream = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
@@ -234,6 +235,7 @@
         };
         let outcome = match (failure, outcome) {
             (UpstreamFailure::Full, _) => ReleaseOutcome::RunnerFull,
+            (UpstreamFailure::Withheld, _) => ReleaseOutcome::Withheld,
             (UpstreamFailure::Failed, ReleaseOutcome::PrefillLost) => ReleaseOutcome::PrefillFailed,
             (UpstreamFailure::Failed, _) => ReleaseOutcome::RunnerFailed,
             (_, outcome) => outcome,
@@ -255,8 +257,7 @@
             out.push(FlowAction::ReportCrash(report));
         }
         self.avoid.push(failed_upstream);
-        let received = failure != UpstreamFailure::NothingSent;
-        self.retry_elsewhere(now, received, out);
+        self.retry_elsewhere(now, !not_sent, out);
     }
 
     /// Requests admission to other upstreams, or refuses the request when a limit forbids another
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -22,6 +22,8 @@
     pub expected_output: Tokens,
     /// The target for the time between two tokens; zero for calls that stream no tokens.
     pub inter_token_target: Duration,
+    /// The upstreams that must not be used, because of what they said in earlier responses.
+    pub avoid: Vec<UpstreamName>,
     /// The sum of the crash weights recorded for requests with the same fingerprint.
     pub crash_weight: u32,
     /// When the request is aborted and refused if it has not ended.
@@ -101,6 +103,8 @@
     Failed,
     /// The upstream's process has ended.
     Died,
+    /// Nothing was sent, as the upstream has said that it takes no requests from this daemon.
+    Withheld,
 }
 
 /// An input of [`RequestFlow::handle`](super::RequestFlow::handle).
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -118,7 +118,7 @@
         let crash_weight = spec.crash_weight;
         Self {
             attempt: 0,
-            avoid: Vec::new(),
+            avoid: spec.avoid.clone(),
             crash_weight,
             domain_index: 0,
             cached_prefill: None,
--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -8,6 +8,7 @@
 mod probing;
 
 use crate::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use crate::coordination::store::StoreEra;
 use crate::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -38,10 +39,14 @@
 pub enum MemberEvent {
     /// A gossip message was received from this address.
     Received(SocketAddr, GossipMessage),
+    /// The platform's store responded to this daemon in this era.
+    Era(StoreEra),
     /// This daemon applied the configuration of this revision.
     Revision(Revision),
     /// This daemon begins to shut down.
     Leave,
+    /// Another daemon has registered at this address. It is contacted if no other is known.
+    Seed(SocketAddr),
     /// A timer fired; due probes, timeouts and syncs are handled.
     Tick,
 }
@@ -53,6 +58,8 @@
     Send(SocketAddr, GossipMessage),
     /// The running members, or the roles that they may be assigned, have changed.
     Changed,
+    /// Another daemon knows of a later era of the platform's store than this one did.
+    NewerEra(StoreEra),
     /// The daemon at this address has a configuration newer than this daemon's, of this revision.
     NewerRevision(SocketAddr, Revision),
 }
@@ -90,6 +97,8 @@
 /// This daemon's view of the membership.
 #[derive(Debug)]
 pub struct MemberTable {
+    /// The latest era of the platform's store that this daemon knows of.
+    era: StoreEra,
     sync_delay: Duration,
     /// Whether this daemon has announced itself to its seeds.
     seeds_contacted: bool,
@@ -115,6 +124,7 @@
     /// number generator.
     pub fn new(now: Instant, me: MemberRecord, seeds: Vec<SocketAddr>, seed: u64) -> Self {
         Self {
+            era: StoreEra::default(),
             sync_delay: FIRST_SYNC_DELAY,
             seeds_contacted: false,
             join_deadline: now + JOIN_TIMEOUT,
@@ -138,11 +148,13 @@
         let mut out = Vec::new();
         match event {
             MemberEvent::Received(from, message) => self.receive(now, from, message, &mut out),
+            MemberEvent::Era(era) => self.era = self.era.max(era),
             MemberEvent::Revision(revision) => self.revision = revision,
             MemberEvent::Leave => {
                 self.me.state = MemberState::Leaving;
                 self.announce(self.me.clone(), &mut out);
             }
+            MemberEvent::Seed(address) => self.add_seed(now, address),
             MemberEvent::Tick => self.tick(now, &mut out),
         }
         out
@@ -152,7 +164,12 @@
     /// `JOIN_TIMEOUT`.
     pub fn is_joined(&self, now: Instant) -> bool {
         let alone = self.seeds.iter().all(|seed| *seed == self.me.peer);
-        alone || self.has_peers() || now >= self.join_deadline
+        alone || self.has_peers() || self.has_waited_to_join(now)
+    }
+
+    /// Returns whether the daemon has waited `JOIN_TIMEOUT` for another member.
+    pub fn has_waited_to_join(&self, now: Instant) -> bool {
+        now >= self.join_deadline
     }
 
     /// Returns whether any other member is not dead.
@@ -208,15 +225,18 @@
         out: &mut Vec<MemberAction>,
     ) {
         match message {
-            GossipMessage::Ping { nonce, revision, updates } => {
+            GossipMessage::Ping { nonce, era, revision, updates } => {
                 self.merge_all(now, updates, out);
+                self.check_era(era, out);
                 self.check_revision(from, revision, out);
                 let updates = self.collect_updates();
-                let ack = GossipMessage::Ack { nonce, revision: self.revision, updates };
+                let (era, revision) = (self.era, self.revision);
+                let ack = GossipMessage::Ack { nonce, era, revision, updates };
                 out.push(MemberAction::Send(from, ack));
             }
-            GossipMessage::Ack { nonce, revision, updates } => {
+            GossipMessage::Ack { nonce, era, revision, updates } => {
                 self.merge_all(now, updates, out);
+                self.check_era(era, out);
                 self.check_revision(from, revision, out);
                 self.handle_ack(nonce, out);
             }
@@ -235,6 +255,21 @@
         }
     }
 
+    fn add_seed(&mut self, now: Instant, address: SocketAddr) {
+        if !self.has_peers() && !self.seeds.contains(&address) {
+            self.seeds.push(address);
+            self.seeds_contacted = false;
+            self.next_reconnect = now;
+        }
+    }
+
+    fn check_era(&mut self, era: StoreEra, out: &mut Vec<MemberAction>) {
+        if era > self.era {
+            self.era = era;
+            out.push(MemberAction::NewerEra(era));
+        }
+    }
+
     fn check_revision(
         &mut self,
         from: SocketAddr,
@@ -251,8 +286,8 @@
             self.probe = None;
         }
         if let Some(relay) = self.relays.remove(&nonce) {
-            let (nonce, revision) = (relay.nonce, Revision(0));
-            let ack = GossipMessage::Ack { nonce, revision, updates: Vec::new() };
+            let (nonce, era, revision) = (relay.nonce, self.era, Revision(0));
+            let ack = GossipMessage::Ack { nonce, era, revision, updates: Vec::new() };
             out.push(MemberAction::Send(relay.requester, ack));
         }
     }
@@ -321,7 +356,8 @@
     }
 
     fn ping(&mut self, nonce: u64) -> GossipMessage {
-        GossipMessage::Ping { nonce, revision: self.revision, updates: self.collect_updates() }
+        let (era, revision) = (self.era, self.revision);
+        GossipMessage::Ping { nonce, era, revision, updates: self.collect_updates() }
     }
 
     /// Sends a record directly to the members of its failure domain. Other members learn it from
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons. The codec is in [`crate::protocol`]; see docs/PROTOCOL.md.
 
 use crate::coordination::shard::RequestStats;
+use crate::coordination::store::StoreEra;
 use crate::prelude::*;
 use crate::state::fleet::{DocumentName, StoredDocument};
 use serde::{Deserialize, Serialize};
@@ -113,6 +114,8 @@
     PrefillFailed,
     /// The decode worker or plain upstream returned an error response.
     RunnerFailed,
+    /// The entry daemon sent nothing, as an upstream takes no requests from it now.
+    Withheld,
 }
 
 /// Messages about one shard, between entry daemons, its owner and its backups.
@@ -152,6 +155,9 @@
     /// Owner to the owner of the same service in another failure domain: statistics of the requests
     /// in the sender's domain.
     Stats(DomainName, RequestStats),
+    /// Entry daemon to owner and backups: the upstream of this incarnation has said that it is
+    /// about to stop.
+    Leaving(UpstreamName, Incarnation),
 }
 
 /// The membership record of a daemon, which every other daemon holds.
@@ -192,6 +198,8 @@
     Ping {
         /// A number that the [`GossipMessage::Ack`] repeats.
         nonce: u64,
+        /// The latest era of the platform's store that the sender knows of.
+        era: StoreEra,
         /// The sender's configuration revision.
         revision: Revision,
         /// Recently changed records to disseminate.
@@ -201,6 +209,8 @@
     Ack {
         /// The nonce of the probe.
         nonce: u64,
+        /// The latest era of the platform's store that the sender knows of.
+        era: StoreEra,
         /// The sender's configuration revision.
         revision: Revision,
         /// Recently changed records to disseminate.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod flow;
 pub mod membership;
 pub mod messages;
+pub mod notices;
 pub mod orders;
 pub mod ownership;
 pub mod registry;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -2,11 +2,14 @@
 //!
 //! An upstream whose record disappears is gone, except right after an outage of the store: during
 //! an outage, records expire although their upstreams are alive, and the upstreams register again
-//! shortly after it. See docs/PLATFORM.md, "Upstreams".
+//! shortly after it. A store that returns from an older copy shows upstreams as they were then;
+//! what this daemon knows of them prevails until they have had time to register again. See
+//! docs/PLATFORM.md, "Upstreams", and docs/DESIGN.md, "Store eras".
 
-use crate::coordination::roles::ObservedPlan;
+use crate::coordination::notices::{NoticeBoard, UpstreamNotice};
+use crate::coordination::roles::{ObservedPlan, PlanDecision, PlanRecord};
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The time after the store is restored within which an upstream registers again if its record
@@ -15,6 +18,17 @@
 /// The time after the store is restored in which a removed record counts as expired during the
 /// outage: about the interval at which the store is read.
 const OUTAGE_GRACE: Duration = Duration::from_millis(1_200);
+/// How long after the store's return from an older copy a record of that copy that contradicts what
+/// is known is not used. By then a living upstream has written its record again, and the record of
+/// one that is gone has expired.
+const COPY_QUARANTINE: Duration = Duration::from_secs(6);
+/// How long after the store's return from an older copy no role plan is made or begun: the orders
+/// of a plan that the store has lost may still be under way. It covers the time in which a plan's
+/// orders are sent, the timeout of an order, and the time between the orders of two holders.
+const RETURN_HOLDOFF: Duration = Duration::from_secs(20);
+/// How long the incarnations of upstreams that are gone are remembered; a copy from which the store
+/// returns is some seconds old.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(600);
 
 /// The registration of one upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -44,8 +58,20 @@
     Removed(UpstreamName),
     /// The complete set of records. Upstreams that are not in it count as removed.
     Listed(BTreeMap<UpstreamName, UpstreamRecord>),
+    /// The store has returned from an older copy.
+    Returned {
+        /// The services that have a role plan in the copy.
+        stored_plans: BTreeSet<ServiceName>,
+        /// The complete set of records in the copy.
+        upstreams: BTreeMap<UpstreamName, UpstreamRecord>,
+    },
+    /// An upstream of this incarnation said something about itself in a response.
+    Noticed(UpstreamName, Incarnation, UpstreamNotice),
     /// A plan of role changes for the workers of a service.
     Planned(ServiceName, ObservedPlan),
+    /// Role plans may not be made or begun for a while, as orders of a plan that the store has lost
+    /// may be under way.
+    HoldPlans,
     /// A call to the store failed.
     StoreLost,
     /// The store responds again.
@@ -73,14 +99,27 @@
     Expired(UpstreamName),
     /// The upstream has been removed from the registry.
     Gone(UpstreamName),
+    /// The upstream has said in a response that it is about to stop.
+    Leaving(UpstreamName),
+    /// The upstream has said in a response that it takes no requests from this daemon for a while.
+    Quiet(UpstreamName, Duration),
 }
 
 /// This daemon's view of the registered upstreams.
 #[derive(Debug, Default)]
 pub struct UpstreamRegistry {
+    /// Records of an older copy of the store that are not used yet.
+    deferred: BTreeMap<UpstreamName, UpstreamRecord>,
+    /// When the records in `deferred` are used, unless the upstreams have written newer ones.
+    deferred_until: Option<Instant>,
+    /// The incarnations of upstreams that are gone, and when each was removed.
+    departures: BTreeMap<UpstreamName, (Incarnation, Instant)>,
     store_lost: bool,
     entries: BTreeMap<UpstreamName, RegistryEntry>,
+    notices: NoticeBoard,
     plans: BTreeMap<ServiceName, ObservedPlan>,
+    /// Until when no role plan may be made or begun.
+    plans_held_until: Option<Instant>,
     /// When the store last came back from an outage.
     restored_at: Option<Instant>,
 }
@@ -89,10 +128,39 @@
     /// Processes one event and returns the changes of upstreams.
     pub fn handle(&mut self, now: Instant, event: RegistryEvent) -> Vec<RegistryChange> {
         let mut changes = Vec::new();
+        // A record that has expired must not be renewed by what an older copy of the store holds.
+        self.expire_records(now, &mut changes);
         match event {
-            RegistryEvent::Written(name, record) => self.write(name, record, &mut changes),
-            RegistryEvent::Removed(name) => self.remove(now, &name, &mut changes),
-            RegistryEvent::Listed(records) => self.list(now, records, &mut changes),
+            RegistryEvent::Written(name, record) => {
+                self.deferred.remove(&name);
+                self.write(name, record, &mut changes);
+            }
+            RegistryEvent::Removed(name) => {
+                self.deferred.remove(&name);
+                self.remove(now, &name, &mut changes);
+            }
+            RegistryEvent::Listed(records) => match self.deferred_until {
+                Some(_) => self.merge_copy(now, records, &mut changes),
+                None => self.list(now, records, &mut changes),
+            },
+            RegistryEvent::Returned { stored_plans, upstreams } => {
+                self.restored_at = Some(now);
+                self.store_lost = false;
+                self.deferred_until = Some(now + COPY_QUARANTINE);
+                self.hold_plans(now);
+                let lost = self.plans.iter_mut().filter(|(name, _)| !stored_plans.contains(*name));
+                lost.for_each(|(_, plan)| plan.mark_lost());
+                self.merge_copy(now, upstreams, &mut changes);
+            }
+            RegistryEvent::Noticed(name, incarnation, notice) => {
+                if self.notices.record(now, &name, incarnation, notice) {
+                    changes.push(match notice {
+                        UpstreamNotice::Leaving => RegistryChange::Leaving(name),
+                        UpstreamNotice::Quiet(time) => RegistryChange::Quiet(name, time),
+                    });
+                }
+            }
+            RegistryEvent::HoldPlans => self.hold_plans(now),
             RegistryEvent::Planned(service, plan) => {
                 self.plans.insert(service, plan);
             }
@@ -122,20 +190,94 @@
     pub fn accepts_requests(&self, now: Instant, name: &UpstreamName) -> bool {
         self.entries.get(name).is_some_and(|entry| {
             let changes = self.is_changing(now, name, &entry.record);
-            let unavailable = entry.record.draining || changes;
+            let forbidden = self.notices.forbids(now, name, entry.record.incarnation);
+            let unavailable = entry.record.draining || changes || forbidden;
             !unavailable && entry.expires_at.is_none_or(|until| now < until)
         })
     }
 
+    /// Returns whether an upstream has said in a response that it takes no requests from this
+    /// daemon now.
+    pub fn is_forbidden(&self, now: Instant, name: &UpstreamName) -> bool {
+        let incarnation = self.incarnation_of(name);
+        incarnation.is_some_and(|incarnation| self.notices.forbids(now, name, incarnation))
+    }
+
+    /// Returns whether an upstream has asked this daemon for a pause that is not over.
+    pub fn is_quiet(&self, now: Instant, name: &UpstreamName) -> bool {
+        let incarnation = self.incarnation_of(name);
+        incarnation.and_then(|known| self.notices.quiet_until(now, name, known)).is_some()
+    }
+
+    /// Returns whether an upstream has said in a response that it is about to stop.
+    pub fn has_left(&self, name: &UpstreamName) -> bool {
+        self.entries.get(name).is_some_and(|entry| self.is_leaving(name, &entry.record))
+    }
+
+    /// Returns whether an upstream with this record has said in a response that it is about to
+    /// stop.
+    pub fn is_leaving(&self, name: &UpstreamName, record: &UpstreamRecord) -> bool {
+        self.notices.is_leaving(name, record.incarnation)
+    }
+
+    /// Returns the upstreams of a service that may not be sent requests because of what they said
+    /// in responses.
+    pub fn forbidden_upstreams(&self, now: Instant, service: &ServiceName) -> Vec<UpstreamName> {
+        let forbidden = self
+            .of_service(service)
+            .filter(|(name, record)| self.notices.forbids(now, name, record.incarnation));
+        forbidden.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the earliest time at which an upstream that could run requests of the service takes
+    /// them from this daemon again; `None` if one does now, or if none will.
+    pub fn quiet_until(&self, now: Instant, service: &ServiceName) -> Option<Instant> {
+        let runners = self.of_service(service).filter(|(name, record)| {
+            let changes = self.is_changing(now, name, record);
+            let leaves = record.draining || self.is_leaving(name, record);
+            record.role != UpstreamRole::Prefill && !leaves && !changes
+        });
+        let quiet = runners
+            .map(|(name, record)| self.notices.quiet_until(now, name, record.incarnation))
+            .collect::<Option<Vec<_>>>()?;
+        quiet.into_iter().min()
+    }
+
     /// Returns whether an upstream gets no requests because it is changing its role.
     pub fn is_changing(&self, now: Instant, name: &UpstreamName, record: &UpstreamRecord) -> bool {
         let plan = self.plans.get(&record.service);
         plan.is_some_and(|plan| plan.is_changing(now, name, record.incarnation, record.role))
     }
 
-    /// Returns the current plan of role changes of a service.
+    /// Returns the current plan of role changes of a service, unless the store has lost it.
     pub fn plan_of(&self, service: &ServiceName) -> Option<&ObservedPlan> {
-        self.plans.get(service)
+        self.plans.get(service).filter(|plan| !plan.is_lost())
+    }
+
+    /// Returns what may be done about a service's plan, with the plan that the store holds. A
+    /// planner begins its plan `wait` after making it.
+    pub fn decide_plan(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        wait: Duration,
+    ) -> (PlanDecision, Option<PlanRecord>) {
+        let plan = self.plan_of(service);
+        let decision = match self.plans_held_until {
+            Some(until) if now < until => PlanDecision::Leave,
+            _ => plan.map_or(PlanDecision::Replace, |plan| plan.decide(now, wait)),
+        };
+        (decision, plan.map(|plan| plan.record().clone()))
+    }
+
+    /// Returns the incarnation of an upstream.
+    pub fn incarnation_of(&self, name: &UpstreamName) -> Option<Incarnation> {
+        self.entries.get(name).map(|entry| entry.record.incarnation)
+    }
+
+    /// Returns the failure domain and the role of an upstream.
+    pub fn location_of(&self, name: &UpstreamName) -> Option<(DomainName, UpstreamRole)> {
+        self.entries.get(name).map(|entry| (entry.record.domain.clone(), entry.record.role))
     }
 
     /// Returns the address of an upstream.
@@ -171,9 +313,58 @@
                 false => RegistryChange::Ready(name.clone()),
             });
         }
+        self.departures.remove(&name);
         self.entries.insert(name, RegistryEntry { expires_at: None, record });
     }
 
+    fn hold_plans(&mut self, now: Instant) {
+        self.plans_held_until = Some(now + RETURN_HOLDOFF);
+    }
+
+    /// Merges the records of an older copy of the store. Those that contradict what is known are
+    /// deferred; an upstream that the copy lacks is used until it should have registered again.
+    fn merge_copy(
+        &mut self,
+        now: Instant,
+        records: BTreeMap<UpstreamName, UpstreamRecord>,
+        changes: &mut Vec<RegistryChange>,
+    ) {
+        self.deferred.clear();
+        let missing = self.entries.keys().filter(|name| !records.contains_key(*name));
+        let missing: Vec<_> = missing.cloned().collect();
+        missing.iter().for_each(|name| self.remove(now, name, changes));
+        for (name, record) in records {
+            let entry = self.entries.get(&name);
+            let expires = entry.is_some_and(|entry| entry.expires_at.is_some());
+            match entry.map(|entry| &entry.record) {
+                Some(known) if *known == record && !expires => {}
+                // An upstream that is draining does not take requests again in this incarnation.
+                Some(known) if known.draining && record.incarnation <= known.incarnation => {}
+                Some(known) if record.incarnation <= known.incarnation => {
+                    self.deferred.insert(name, record);
+                }
+                None if self.has_departed(&name, record.incarnation) => {
+                    self.deferred.insert(name, record);
+                }
+                _ => self.write(name, record, changes),
+            }
+        }
+    }
+
+    fn has_departed(&self, name: &UpstreamName, incarnation: Incarnation) -> bool {
+        self.departures.get(name).is_some_and(|(departed, _)| incarnation <= *departed)
+    }
+
+    /// Uses the deferred records that have not been replaced by newer ones in time.
+    fn use_deferred(&mut self, now: Instant, changes: &mut Vec<RegistryChange>) {
+        if self.deferred_until.is_some_and(|until| now >= until) {
+            self.deferred_until = None;
+            for (name, record) in std::mem::take(&mut self.deferred) {
+                self.write(name, record, changes);
+            }
+        }
+    }
+
     fn remove(&mut self, now: Instant, name: &UpstreamName, changes: &mut Vec<RegistryChange>) {
         let restored_at = self.restored_at.filter(|at| now < *at + OUTAGE_GRACE);
         let Some(entry) = self.entries.get_mut(name) else { return };
@@ -185,7 +376,9 @@
             }
             return;
         }
+        let incarnation = entry.record.incarnation;
         self.entries.remove(name);
+        self.departures.insert(name.clone(), (incarnation, now));
         changes.push(RegistryChange::Gone(name.clone()));
     }
 
@@ -202,9 +395,13 @@
     }
 
     fn expire_records(&mut self, now: Instant, changes: &mut Vec<RegistryChange>) {
+        self.use_deferred(now, changes);
+        self.departures.retain(|_, (_, at)| now < *at + DEPARTURE_RETENTION);
+        let departures = &mut self.departures;
         self.entries.retain(|name, entry| {
             let expired = entry.expires_at.is_some_and(|until| now >= until);
             if expired {
+                departures.insert(name.clone(), (entry.record.incarnation, now));
                 changes.push(RegistryChange::Gone(name.clone()));
             }
             !expired
--- a/src/coordination/roles.rs
+++ b/src/coordination/roles.rs
@@ -136,6 +136,8 @@
 pub struct ObservedPlan {
     /// When a worker that has changed its role gets requests again.
     available_from: Instant,
+    /// Whether the store no longer holds the plan, since it has returned from an older copy.
+    lost: bool,
     observed_at: Instant,
     record: PlanRecord,
     /// When a worker that has not changed its role gets requests again.
@@ -148,6 +150,7 @@
     pub fn new(now: Instant, record: PlanRecord, available_from: Instant) -> Self {
         Self {
             available_from,
+            lost: false,
             observed_at: now,
             record,
             change_deadline: now + ROLE_CHANGE_TIMEOUT,
@@ -165,6 +168,17 @@
         &self.record
     }
 
+    /// Records that the store no longer holds the plan. Its workers still change their roles if the
+    /// plan was begun.
+    pub fn mark_lost(&mut self) {
+        self.lost = true;
+    }
+
+    /// Returns whether the store no longer holds the plan.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
     /// Returns what may be done about the plan. Its planner begins it `wait` after making it.
     pub fn decide(&self, now: Instant, wait: Duration) -> PlanDecision {
         if now >= self.observed_at + REPLAN_INTERVAL {
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -264,6 +264,10 @@
             ShardMessage::Stats(domain, stats) if domain != self.domain => {
                 self.domain_stats.insert(domain, stats);
             }
+            ShardMessage::Leaving(upstream, incarnation) => {
+                self.pool.mark_leaving(&upstream, incarnation);
+                self.refuse_unservable(actions);
+            }
             // All other messages are addressed to entry daemons, or to a daemon in another role.
             _ => {}
         }
--- a/src/coordination/shard/ledger/claims.rs
+++ b/src/coordination/shard/ledger/claims.rs
@@ -56,7 +56,7 @@
                 self.pool.record_response(now, failed, true);
             }
             ReleaseOutcome::RunnerFailed => self.pool.record_response(now, &claim.runner, true),
-            ReleaseOutcome::Cancelled => {}
+            ReleaseOutcome::Cancelled | ReleaseOutcome::Withheld => {}
             ReleaseOutcome::Unconfirmed => return self.orphan(now, attempt),
             ReleaseOutcome::PrefillLost => {
                 let lost = claim.prefill.as_ref().unwrap_or(&claim.runner);
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -45,6 +45,8 @@
     consecutive_failures: u32,
     health: WorkerHealth,
     kv_blocks: u32,
+    /// Whether the worker has said in a response that it is about to stop.
+    leaving: bool,
     /// The end of the current backoff.
     backoff_until: Option<Instant>,
     slots: u32,
@@ -62,6 +64,7 @@
             consecutive_failures: 0,
             health: WorkerHealth::default(),
             kv_blocks: 0,
+            leaving: false,
             backoff_until: None,
             slots: 0,
             spec,
@@ -71,12 +74,16 @@
     }
 
     fn is_usable(&self, now: Instant) -> bool {
-        !self.spec.draining && self.backoff_until.is_none_or(|until| until <= now)
+        !self.is_stopping() && self.backoff_until.is_none_or(|until| until <= now)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.spec.draining || self.leaving
     }
 
     /// Returns whether the request may run here once there is capacity.
     fn accepts(&self, request: &AdmissionRequest) -> bool {
-        !self.spec.draining && !request.avoid.contains(&self.spec.name)
+        !self.is_stopping() && !request.avoid.contains(&self.spec.name)
     }
 
     /// Returns whether a worker that is backed off may get a probe if no other is usable: it must
@@ -272,6 +279,15 @@
         }
     }
 
+    /// Records that an upstream has said that it is about to stop. This holds for the incarnation
+    /// and all earlier ones.
+    pub fn mark_leaving(&mut self, name: &UpstreamName, incarnation: Incarnation) {
+        let worker = self.workers.get_mut(name);
+        if let Some(worker) = worker.filter(|worker| worker.spec.incarnation <= incarnation) {
+            worker.leaving = true;
+        }
+    }
+
     /// Records that an upstream responded, possibly with an error. Any response ends its backoff,
     /// but upstreams that fail less often are preferred.
     pub fn record_response(&mut self, now: Instant, name: &UpstreamName, failed: bool) {
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -9,11 +9,58 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
 use thiserror::Error;
 
-/// The version of a stored value, which changes with every write. Zero stands for an absent value.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StoreVersion(pub u64);
+/// The number of bits that [`StoreVersion::sequence`] uses for the revision.
+const REVISION_BITS: u32 = 40;
+
+/// Counts how often the store has returned from an older copy of its content. Revisions that were
+/// given out after that copy are given out again in the next era. See docs/DESIGN.md, "Store eras".
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for StoreEra {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// The version of a stored value, which changes with every write. Versions are ordered by the era
+/// first, since a later era gives out lower revisions again.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StoreVersion {
+    /// The era in which the value was read or written.
+    pub era: StoreEra,
+    /// The store's revision of the value within its era.
+    pub revision: u64,
+}
+
+impl StoreVersion {
+    /// The version that stands for an absent value.
+    pub const ABSENT: Self = Self { era: StoreEra(0), revision: 0 };
+
+    /// Returns the version of a store that never returns from an older copy.
+    pub fn without_era(revision: u64) -> Self {
+        Self { era: StoreEra(0), revision }
+    }
+
+    /// Returns a number that grows with the version, for fencing tokens and incarnations. It is
+    /// below 2^53, which JSON readers keep exact, for up to 8191 eras.
+    pub fn sequence(self) -> u64 {
+        (self.era.0 << REVISION_BITS) | self.revision
+    }
+}
 
 /// A stored value with its version.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -180,7 +227,7 @@
 /// Returns an error if the value cannot be parsed.
 pub fn parse_head(value: Option<StoredValue>) -> Result<(ConfigHead, StoreVersion), StoreError> {
     let Some(value) = value else {
-        return Ok((ConfigHead::default(), StoreVersion(0)));
+        return Ok((ConfigHead::default(), StoreVersion::ABSENT));
     };
     Ok((parse_json(HEAD_KEY, &value.bytes)?, value.version))
 }
@@ -401,7 +448,7 @@
     let (author, text) = (edit.author.clone(), edit.text.clone());
     let value = DocumentValue { author, depth, parent, text };
     let bytes = serde_json::to_vec(&value).map_err(|e| StoreError::Invalid(e.to_string()))?;
-    match store.put(&key, bytes, StoreVersion(0)).await {
+    match store.put(&key, bytes, StoreVersion::ABSENT).await {
         Ok(_) => Ok(()),
         Err(StoreError::Unknown(reason)) => match store.get(&key).await? {
             Some(_) => Ok(()),
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 /// The version of the protocol; daemons drop messages of any other version.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// The largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 2048;
 /// The largest frame on a connection, in bytes.
@@ -36,10 +36,15 @@
 }
 
 /// The key that all daemons of a deployment share, for message authentication.
-#[derive(Clone)]
+#[derive(Clone, Eq, PartialEq)]
 pub struct PeerKey([u8; 32]);
 
 impl PeerKey {
+    /// Returns the key with these raw bytes.
+    pub fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
     /// Returns the raw key for keyed digests.
     pub fn bytes(&self) -> &[u8; 32] {
         &self.0
@@ -89,13 +94,16 @@
     encode(key, b"datagram", message, MAX_DATAGRAM_BYTES)
 }
 
-/// Verifies and decodes a datagram.
+/// Verifies a datagram with any of the keys and decodes it.
 ///
 /// # Errors
 ///
 /// Returns why the datagram must be dropped.
-pub fn decode_datagram(key: &PeerKey, bytes: &[u8]) -> Result<GossipMessage, CodecError> {
-    decode(key, b"datagram", bytes, MAX_DATAGRAM_BYTES)
+pub fn decode_datagram<'a>(
+    keys: impl IntoIterator<Item = &'a PeerKey>,
+    bytes: &[u8],
+) -> Result<GossipMessage, CodecError> {
+    decode_any(keys, b"datagram", bytes, MAX_DATAGRAM_BYTES)
 }
 
 /// Binds the frames of one connection to its challenge and to their order, so that a recorded
@@ -121,13 +129,17 @@
         encode(key, &self.next_context(), frame, MAX_FRAME_BYTES)
     }
 
-    /// Verifies and decodes the connection's next frame.
+    /// Verifies the connection's next frame with any of the keys and decodes it.
     ///
     /// # Errors
     ///
     /// Returns why the frame must be dropped; the connection can then no longer be used.
-    pub fn decode(&mut self, key: &PeerKey, bytes: &[u8]) -> Result<PeerFrame, CodecError> {
-        decode(key, &self.next_context(), bytes, MAX_FRAME_BYTES)
+    pub fn decode<'a>(
+        &mut self,
+        keys: impl IntoIterator<Item = &'a PeerKey>,
+        bytes: &[u8],
+    ) -> Result<PeerFrame, CodecError> {
+        decode_any(keys, &self.next_context(), bytes, MAX_FRAME_BYTES)
     }
 
     fn next_context(&mut self) -> Vec<u8> {
@@ -154,6 +166,23 @@
     Ok(bytes)
 }
 
+/// Tries the keys in turn; only a wrong tag leads to the next one.
+fn decode_any<'a, T: DeserializeOwned>(
+    keys: impl IntoIterator<Item = &'a PeerKey>,
+    context: &[u8],
+    bytes: &[u8],
+    max_bytes: usize,
+) -> Result<T, CodecError> {
+    let mut result = Err(CodecError::Tag);
+    for key in keys {
+        result = decode(key, context, bytes, max_bytes);
+        if !matches!(result, Err(CodecError::Tag)) {
+            break;
+        }
+    }
+    result
+}
+
 fn decode<T: DeserializeOwned>(
     key: &PeerKey,
     context: &[u8],
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -7,6 +7,7 @@
 use crate::coordination::store::KeyStore;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
+use crate::protocol::keyring::PeerKeyring;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::CliResult;
 use crate::transport::links::PeerLinks;
@@ -73,6 +74,8 @@
         draining: AtomicBool::new(false),
         links: PeerLinks::default(),
         members: Mutex::new(members),
+        newer_era: Notify::new(),
+        peer_keys: Mutex::new(PeerKeyring::new(settings.peer_key.clone())),
         sequence: AtomicU64::new(0),
         shard_wake: Notify::new(),
         shards: Mutex::new(ShardTable::new()),
--- a/src/transport/consul.rs
+++ b/src/transport/consul.rs
@@ -118,7 +118,7 @@
             index.ok_or_else(|| StoreError::Invalid("missing X-Consul-Index".to_owned()))?;
         let bytes = response.bytes().await;
         let bytes = bytes.map_err(|error| StoreError::Unreachable(error.to_string()))?;
-        parse_pairs(&bytes, StoreVersion(index)).map(Some)
+        parse_pairs(&bytes, StoreVersion::without_era(index)).map(Some)
     }
 }
 
@@ -147,7 +147,7 @@
     let pair = pairs.into_iter().next().ok_or_else(|| invalid("an empty list".to_owned()))?;
     let text = pair.value.unwrap_or_default();
     let bytes = BASE64_STANDARD.decode(text).map_err(|error| invalid(error.to_string()))?;
-    let version = StoreVersion(pair.modify_index);
+    let version = StoreVersion::without_era(pair.modify_index);
     Ok(StoredValue { bytes, index, lock_index: pair.lock_index, version })
 }
 
@@ -164,7 +164,7 @@
         expected: StoreVersion,
     ) -> BoxFuture<'a, Result<bool, StoreError>> {
         async move {
-            let request = self.client.put(self.url(key)).query(&[("cas", expected.0)]);
+            let request = self.client.put(self.url(key)).query(&[("cas", expected.revision)]);
             self.send_put(request.body(bytes).timeout(CALL_TIMEOUT)).await
         }
         .boxed()
@@ -224,7 +224,7 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<Option<StoredValue>, StoreError>> {
         let wait_text = format!("{}ms", wait.as_millis());
-        let query = [("index", seen.0.to_string()), ("wait", wait_text)];
+        let query = [("index", seen.revision.to_string()), ("wait", wait_text)];
         let request = self.client.get(self.url(key)).query(&query).timeout(wait + CALL_TIMEOUT);
         self.read(request).boxed()
     }
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -30,6 +30,8 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// How long before the upstream's timeout an idle connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// The largest head of a response, in bytes; a connection with a larger one is closed.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// How many idle connections are tried before a new one is opened.
 const MAX_REUSE_ATTEMPTS: usize = 4;
 /// The fraction of an upstream's connections that the known hosts share; the rest is for hosts that
@@ -198,6 +200,7 @@
             }
         };
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| UpstreamFailure::NothingSent)?;
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -95,6 +95,10 @@
     pub keep_alive: Option<Duration>,
     /// How the response relates to the request.
     pub kind: ResponseKind,
+    /// Whether the upstream says that it is about to stop.
+    pub leaving: bool,
+    /// How long the upstream, which has refused the request, takes none from this daemon.
+    pub quiet: Option<Duration>,
 }
 
 /// Reads and writes a deployment's headers.
@@ -109,6 +113,9 @@
     /// Removes headers that only this system may set from a caller's request.
     fn strip(&self, headers: &mut HeaderMap);
 
+    /// Removes headers from an upstream's response that are meant for this system only.
+    fn strip_response(&self, headers: &mut HeaderMap);
+
     /// Adds the headers for the upstream to the caller's.
     fn write_request(&self, head: &OutboundHead<'_>, headers: &mut HeaderMap);
 
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -1,10 +1,11 @@
 //! Watches the platform's store for routes, upstreams, hosts and role plans.
 
+use crate::coordination::membership::MemberEvent;
 use crate::coordination::registry::{RegistryChange, RegistryEvent, UpstreamRecord};
 use crate::coordination::roles::{ObservedPlan, PlanRecord};
-use crate::coordination::store::{StoreError, StoreVersion};
+use crate::coordination::store::{StoreEra, StoreError, StoreVersion};
 use crate::prelude::*;
-use crate::protocol::codec::PeerKey;
+use crate::protocol::keyring::SharedKey;
 use crate::state::routes::RouteTable;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::node::lock;
@@ -26,12 +27,19 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest backoff; routes must be in force within two seconds after the store has recovered.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// The longest time from the start of one watch to the next while upstreams register again after
+/// the store has returned from an older copy.
+const RETURN_WATCH_PERIOD: Duration = Duration::from_millis(300);
+/// How long after the store's return [`RETURN_WATCH_PERIOD`] applies.
+const RETURN_WATCH_TIME: Duration = Duration::from_secs(3);
 
 /// The complete content of the directory.
 #[derive(Clone, Debug, Default)]
 pub struct DirectorySnapshot {
     /// The peer addresses of the registered hosts.
     pub hosts: BTreeMap<HostName, SocketAddr>,
+    /// The key that all daemons share; absent before any host has registered.
+    pub key: Option<SharedKey>,
     /// The role plans by service.
     pub plans: BTreeMap<ServiceName, PlanRecord>,
     /// The routes; absent before the operator has written any.
@@ -47,6 +55,8 @@
 pub enum DirectoryChange {
     /// A host registered with this peer address.
     Host(HostName, SocketAddr),
+    /// The key that all daemons share was written.
+    Key(SharedKey),
     /// A role plan was made or begun.
     Planned(ServiceName, PlanRecord),
     /// The operator wrote new routes.
@@ -60,27 +70,31 @@
 pub enum DirectoryUpdate {
     /// These changes, and the version from which the next watch continues.
     Changes(Vec<DirectoryChange>, StoreVersion),
-    /// The store has discarded the history since the last watch, so everything must be read again.
+    /// The store has discarded the history since the last watch, or has returned from an older
+    /// copy, so everything must be read again.
     HistoryLost,
 }
 
 /// The result of registering a host.
 #[derive(Clone, Debug)]
 pub struct HostRegistration {
-    /// The key that all daemons of the deployment share.
-    pub peer_key: PeerKey,
-    /// A number higher than that of every earlier registration. The wall clock is unsuitable: a
-    /// host that restarts after its clock was set back would be taken for its earlier incarnation.
+    /// A number higher than that of every earlier registration, also in an earlier era of the
+    /// store. The wall clock is unsuitable: a host that restarts after its clock was set back would
+    /// be taken for its earlier incarnation.
     pub incarnation: Incarnation,
+    /// The key that all daemons of the deployment share.
+    pub key: SharedKey,
 }
 
 /// Reads routes, upstreams, hosts and role plans, and registers this host.
 pub trait DirectorySource: Send + Sync {
-    /// Registers this host with its peer address, or renews its registration.
+    /// Registers this host with its peer address, or renews its registration. A running host
+    /// passes the key that it uses, which replaces a stored one of a later era.
     fn register<'a>(
         &'a self,
         host: &'a HostName,
         peer: SocketAddr,
+        own_key: Option<&'a SharedKey>,
     ) -> BoxFuture<'a, Result<HostRegistration, StoreError>>;
 
     /// Waits for changes after the version `seen`, for at most `wait`.
@@ -139,6 +153,7 @@
 pub async fn watch_directory(gateway: Arc<Gateway>, mut seen: StoreVersion) {
     let mut backoff = CallBackoff::default();
     let mut store_lost = false;
+    let mut returned_at = None;
     loop {
         let started = gateway.node.clock.now();
         // After a failure only the changes that are already there are read, which returns at once.
@@ -152,7 +167,7 @@
         }
         let outcome = match update {
             Ok(DirectoryUpdate::Changes(changes, next)) => {
-                seen = seen.max(next);
+                seen = next;
                 Ok(changes)
             }
             Ok(DirectoryUpdate::HistoryLost) => {
@@ -160,8 +175,14 @@
                     "store: the history since the last watch is gone; reading the complete directory"
                 );
                 gateway.source.load().await.map(|snapshot| {
+                    let has_returned = snapshot.seen.era != seen.era;
                     seen = snapshot.seen;
-                    gateway.apply_snapshot(snapshot);
+                    if has_returned {
+                        returned_at = Some(gateway.node.clock.now());
+                        gateway.apply_return(snapshot);
+                    } else {
+                        gateway.apply_snapshot(snapshot);
+                    }
                     Vec::new()
                 })
             }
@@ -171,9 +192,16 @@
             Ok(changes) => {
                 backoff.reset();
                 gateway.apply_changes(changes);
-                let elapsed = gateway.node.clock.now() - started;
+                let now = gateway.node.clock.now();
                 let period = gateway.propagation_limit.mul_f64(WATCH_PERIOD_FRACTION);
-                tokio::time::sleep(period.saturating_sub(elapsed)).await;
+                let period = match returned_at {
+                    Some(at) if now < at + RETURN_WATCH_TIME => period.min(RETURN_WATCH_PERIOD),
+                    _ => period,
+                };
+                tokio::select! {
+                    () = tokio::time::sleep(period.saturating_sub(now - started)) => {}
+                    () = gateway.node.newer_era.notified() => gateway.hold_plans(),
+                }
             }
             Err(error) => {
                 counter!("apricotrun_store_failures_total").increment(1);
@@ -184,7 +212,10 @@
                     );
                 }
                 gateway.apply_registry_events([RegistryEvent::StoreLost]);
-                backoff.wait().await;
+                tokio::select! {
+                    () = backoff.wait() => {}
+                    () = gateway.node.newer_era.notified() => gateway.hold_plans(),
+                }
             }
         }
     }
@@ -193,21 +224,62 @@
 impl Gateway {
     /// Applies the complete content of the directory.
     pub fn apply_snapshot(self: &Arc<Self>, snapshot: DirectorySnapshot) {
+        self.record_era(snapshot.seen.era);
+        self.check_registration(&snapshot);
+        if let Some(routes) = snapshot.routes {
+            self.apply_routes(routes);
+        }
+        self.apply_plans(snapshot.plans);
+        self.apply_registry_events([RegistryEvent::Listed(snapshot.upstreams)]);
+        self.configure();
+    }
+
+    /// Applies the content of a store that has returned from an older copy. What this daemon knows
+    /// is newer than the copy, so routes and upstreams do not go back to it. See docs/DESIGN.md,
+    /// "Store eras".
+    fn apply_return(self: &Arc<Self>, snapshot: DirectorySnapshot) {
+        let era = snapshot.seen.era;
+        counter!("apricotrun_store_returns_total").increment(1);
+        self.record_era(era);
+        log::warn!(
+            era = era.0, revision = snapshot.seen.revision,
+            config = snapshot.routes.as_ref().map_or(0, |routes| routes.revision.0),
+            upstreams = snapshot.upstreams.len(), hosts = snapshot.hosts.len();
+            "store: has returned from an older copy"
+        );
+        self.check_registration(&snapshot);
         if let Some(routes) = snapshot.routes {
             self.apply_routes(routes);
         }
+        let stored_plans = snapshot.plans.keys().cloned().collect();
+        let upstreams = snapshot.upstreams;
+        self.apply_registry_events([RegistryEvent::Returned { stored_plans, upstreams }]);
+        self.apply_plans(snapshot.plans);
+        self.configure();
+    }
+
+    fn record_era(self: &Arc<Self>, era: StoreEra) {
+        gauge!("apricotrun_store_era").set(era.0 as f64);
+        self.node.handle_member_event(MemberEvent::Era(era));
+    }
+
+    /// Holds role plans back, as another daemon has seen the store return.
+    fn hold_plans(&self) {
+        self.apply_registry_events([RegistryEvent::HoldPlans]);
+    }
+
+    /// Observes the plans of a complete read that differ from those known.
+    fn apply_plans(&self, plans: BTreeMap<ServiceName, PlanRecord>) {
         let now = self.node.clock.now();
         let is_known = |service: &ServiceName, plan: &PlanRecord| {
             let registry = lock(&self.registry);
             registry.plan_of(service).is_some_and(|observed| observed.record() == plan)
         };
-        let plans = snapshot.plans.into_iter().filter(|(service, plan)| !is_known(service, plan));
+        let plans = plans.into_iter().filter(|(service, plan)| !is_known(service, plan));
         let plans: Vec<_> = plans.collect();
         self.apply_registry_events(plans.into_iter().map(|(service, plan)| {
             RegistryEvent::Planned(service, ObservedPlan::of_unknown_age(now, plan))
         }));
-        self.apply_registry_events([RegistryEvent::Listed(snapshot.upstreams)]);
-        self.configure();
     }
 
     fn apply_changes(self: &Arc<Self>, changes: Vec<DirectoryChange>) {
@@ -215,8 +287,12 @@
         let mut events = vec![RegistryEvent::Tick];
         for change in changes {
             match change {
-                // The membership protocol discovers hosts with its own probes.
-                DirectoryChange::Host(..) => {}
+                // The membership protocol discovers hosts with its own probes, but a daemon that
+                // knows no other needs an address to begin with.
+                DirectoryChange::Host(_, address) => {
+                    self.node.handle_member_event(MemberEvent::Seed(address));
+                }
+                DirectoryChange::Key(key) => self.check_key(&key),
                 DirectoryChange::Planned(service, plan) => {
                     reconfigure = true;
                     events.push(self.observe_plan(service, plan));
@@ -244,7 +320,10 @@
     }
 
     /// Passes events to the upstream registry and returns whether anything changed for requests.
-    fn apply_registry_events(&self, events: impl IntoIterator<Item = RegistryEvent>) -> bool {
+    pub(super) fn apply_registry_events(
+        &self,
+        events: impl IntoIterator<Item = RegistryEvent>,
+    ) -> bool {
         let now = self.node.clock.now();
         let mut registry = lock(&self.registry);
         let changes = events.into_iter().flat_map(|event| registry.handle(now, event));
@@ -265,6 +344,13 @@
             (name, "has a record that expired while the store was unreachable")
         }
         RegistryChange::Gone(name) => (name, "is gone"),
+        RegistryChange::Leaving(name) => (name, "says that it is about to stop"),
+        RegistryChange::Quiet(name, time) => {
+            let quiet_ms = time.as_millis() as u64;
+            return log::info!(
+                upstream:% = name, quiet_ms; "upstream: takes no requests for a while"
+            );
+        }
     };
     log::info!(upstream:% = upstream; "upstream: {description}");
 }
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -101,9 +101,7 @@
     ) -> Result<(UpstreamExchange, ResponseHead), UpstreamFailure> {
         let now = self.gateway.node.clock.now();
         // The upstream may have started to drain while the request was queued.
-        if !lock(&self.gateway.registry).accepts_requests(now, &target.upstream) {
-            return Err(UpstreamFailure::NothingSent);
-        }
+        let incarnation = self.gateway.check_upstream(now, &target.upstream)?;
         let timeout = target.deadline.saturating_duration_since(now);
         let dialect = &self.gateway.dialect;
         let outbound = OutboundHead { timeout, step, upstream: &target.upstream };
@@ -118,6 +116,7 @@
         let exchange = self.gateway.connections.send(&key, limit, request).await?;
         let (parts, body) = exchange.response.into_parts();
         let head = dialect.read_response(&self.request.head.request_id, &parts);
+        self.gateway.record_notices(&target.upstream, incarnation, &head);
         let response = http::Response::from_parts(parts, body);
         Ok((UpstreamExchange { connection: exchange.connection, response }, head))
     }
@@ -180,6 +179,10 @@
     /// Frees a prefill result that will not be fetched, before its worker evicts it.
     async fn free_prefill_result(&self) {
         let Some(result) = lock(&self.prefill_result).take() else { return };
+        let now = self.gateway.node.clock.now();
+        if lock(&self.gateway.registry).is_quiet(now, &result.upstream) {
+            return;
+        }
         let path = self.gateway.dialect.handle_path(&result.handle);
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::DELETE;
@@ -209,7 +212,7 @@
     ) -> Result<FlowEvent, UpstreamFailure> {
         let attempt = &run.target.context.attempt;
         let request_id = attempt.to_string();
-        let (response, mut body, connection) = split_exchange(exchange);
+        let (response, mut body, connection) = self.split_exchange(exchange);
         {
             // A stream that resumes at another upstream keeps the headers of the first. A recorded
             // error response was not passed on and is replaced.
@@ -248,13 +251,30 @@
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
     }
 
+    fn split_exchange(
+        &self,
+        exchange: UpstreamExchange,
+    ) -> (UpstreamResponse, Incoming, PooledConnection) {
+        let (parts, body) = exchange.response.into_parts();
+        let mut headers = parts.headers;
+        drop_connection_headers(&mut headers);
+        self.gateway.dialect.strip_response(&mut headers);
+        let response = UpstreamResponse {
+            body: Bytes::new(),
+            headers,
+            reservation: BodyReservation::default(),
+            status: parts.status,
+        };
+        (response, body, exchange.connection)
+    }
+
     async fn read_buffered(
         &self,
         exchange: UpstreamExchange,
         head: &ResponseHead,
         limit: usize,
     ) -> Result<UpstreamResponse, UpstreamFailure> {
-        let (response, body, connection) = split_exchange(exchange);
+        let (response, body, connection) = self.split_exchange(exchange);
         let read = self.gateway.response_budget.read(body, limit).await;
         let (body, reservation) = read.map_err(|error| {
             if error == BodyError::TooLarge {
@@ -310,19 +330,6 @@
     }
 }
 
-fn split_exchange(exchange: UpstreamExchange) -> (UpstreamResponse, Incoming, PooledConnection) {
-    let (parts, body) = exchange.response.into_parts();
-    let mut headers = parts.headers;
-    drop_connection_headers(&mut headers);
-    let response = UpstreamResponse {
-        body: Bytes::new(),
-        headers,
-        reservation: BodyReservation::default(),
-        status: parts.status,
-    };
-    (response, body, exchange.connection)
-}
-
 fn failure_for(kind: ResponseKind) -> UpstreamFailure {
     match kind {
         ResponseKind::Full | ResponseKind::Declined => UpstreamFailure::Full,
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -87,6 +87,9 @@
         let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
         let service = self.rule.select_service(rand::random()).cloned();
         let Some(service) = service else { return refusal_response(&no_upstream) };
+        if let Some(refusal) = self.gateway.refuse_while_quiet(&service) {
+            return refusal_response(&refusal);
+        }
         let Some(spec) = self.build_spec(&service) else { return refusal_response(&no_upstream) };
         self.log_accepted(&service, &spec);
         let request_id = self.inbound.head.request_id.clone();
@@ -132,8 +135,10 @@
         ]);
         let retries = self.gateway.retry_budget(service);
         retries.record_request(self.accepted);
+        let avoid = lock(&self.gateway.registry).forbidden_upstreams(self.accepted, service);
         Some(RequestSpec {
             account: self.gateway.account.clone(),
+            avoid,
             expected_output,
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
             crash_weight: lock(&node.crashes).weight(self.accepted, &fingerprint),
--- a/src/transport/gateway/roles.rs
+++ b/src/transport/gateway/roles.rs
@@ -119,12 +119,9 @@
         let now = self.node.clock.now();
         let registry = lock(&self.registry);
         let candidates = owned_services.into_iter().filter_map(|service| {
-            let observed = registry.plan_of(&service);
-            let decision = observed
-                .map_or(PlanDecision::Replace, |plan| plan.decide(now, self.propagation_limit));
-            let previous = || observed.map(|plan| plan.record().clone());
-            (decision != PlanDecision::Leave).then(|| PlanCandidate {
-                previous: previous(),
+            let (decision, previous) = registry.decide_plan(now, &service, self.propagation_limit);
+            (decision != PlanDecision::Leave).then_some(PlanCandidate {
+                previous,
                 service,
                 decision,
             })
@@ -142,10 +139,13 @@
 
     fn due_plan(&self, candidate: PlanCandidate) -> Option<DuePlan> {
         let PlanCandidate { previous, service, decision } = candidate;
-        let shape = lock(&self.node.shards).get(&service)?.shape(self.node.clock.now());
+        let now = self.node.clock.now();
+        let shape = lock(&self.node.shards).get(&service)?.shape(now);
         let plan = match (decision, &previous) {
             (PlanDecision::TakeOver, Some(previous)) => previous.plan.clone(),
-            _ => RolePlan::balance(&shape?, &worker_snapshots(&lock(&self.registry), &service)),
+            _ => {
+                RolePlan::balance(&shape?, &worker_snapshots(now, &lock(&self.registry), &service))
+            }
         };
         (!plan.workers.is_empty()).then_some(DuePlan { previous, plan, service, shape, decision })
     }
@@ -158,7 +158,9 @@
         let current = match (due.decision, previous) {
             (PlanDecision::TakeOver, _) => current,
             (_, Some(_)) => self.publish_plan(&due.service, &planned, current).await?,
-            (_, None) => self.publish_plan(&due.service, &planned, Some(StoreVersion(0))).await?,
+            (_, None) => {
+                self.publish_plan(&due.service, &planned, Some(StoreVersion::ABSENT)).await?
+            }
         };
         let Some(version) = current else { return Ok(()) };
         let begun = PlanRecord { begun: true, ..planned };
@@ -167,11 +169,12 @@
             return Ok(());
         };
         log::info!(
-            service:% = due.service, workers = begun.plan.workers.len(), fence = fence.0,
+            service:% = due.service, workers = begun.plan.workers.len(),
+            fence = fence.sequence(),
             shape:? = due.shape, turn:? = due.decision;
             "roles: plan begun"
         );
-        self.send_orders(client, &due.service, &begun, FencingToken(fence.0)).await;
+        self.send_orders(client, &due.service, &begun, FencingToken(fence.sequence())).await;
         Ok(())
     }
 
@@ -242,7 +245,12 @@
                     "roles: the time for the plan's orders has passed"
                 );
             }
-            let Some(address) = lock(&self.registry).address_of(name) else { continue };
+            let now = self.node.clock.now();
+            let address = {
+                let registry = lock(&self.registry);
+                registry.address_of(name).filter(|_| !registry.is_forbidden(now, name))
+            };
+            let Some(address) = address else { continue };
             let outcome = client.order(name, address, *role, &begun.holder, fence).await;
             log::info!(
                 upstream:% = name, role:? = role, fence = fence.0, outcome:? = outcome;
@@ -269,8 +277,14 @@
     }
 }
 
-fn worker_snapshots(registry: &UpstreamRegistry, service: &ServiceName) -> Vec<WorkerSnapshot> {
-    let workers = registry.of_service(service).filter(|(_, record)| !record.draining);
+fn worker_snapshots(
+    now: Instant,
+    registry: &UpstreamRegistry,
+    service: &ServiceName,
+) -> Vec<WorkerSnapshot> {
+    let workers = registry
+        .of_service(service)
+        .filter(|(name, record)| !record.draining && !registry.is_forbidden(now, name));
     let workers = workers.map(|(name, record)| WorkerSnapshot {
         domain: record.domain.clone(),
         incarnation: record.incarnation,
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -1,11 +1,12 @@
 //! Starts a gateway and stops it gracefully.
 
 use crate::coordination::membership::MemberEvent;
-use crate::coordination::registry::UpstreamRegistry;
+use crate::coordination::registry::{RegistryEvent, UpstreamRegistry};
 use crate::coordination::retries::{RetryBudget, RetryLimits};
 use crate::coordination::store::KeyStore;
 use crate::prelude::*;
 use crate::protocol::codec::PeerKey;
+use crate::protocol::keyring::SharedKey;
 use crate::state::routes::{ActiveRoutes, CallerLimits};
 use crate::transport::build::{NodeDependencies, build_node};
 use crate::transport::claims::send_summaries;
@@ -17,6 +18,7 @@
 use crate::transport::gateway::directory::{DirectorySource, retry_until_ok, watch_directory};
 use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
 use crate::transport::gateway::probes::{install_recorder, serve_probes};
+use crate::transport::gateway::registration::renew_registration;
 use crate::transport::gateway::roles::{RoleClient, plan_roles};
 use crate::transport::gossip;
 use crate::transport::links::serve_links;
@@ -31,7 +33,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// How long new requests are still accepted after readiness has been withdrawn, since the load
 /// balancer reacts late.
@@ -42,8 +44,6 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// The interval at which the settings file is read, as it may change without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(2);
-/// The interval at which this host renews its registration: a third of the lifetime of its record.
-const REGISTRATION_PERIOD: Duration = Duration::from_secs(200);
 /// The interval at which idle connections are pruned and readiness is checked; a tenth of it before
 /// the daemon is ready.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
@@ -61,6 +61,9 @@
     pub stop_grace: Duration,
     /// This host's name, which is unique in the deployment.
     pub host: HostName,
+    /// Whether the whole deployment starts for the first time. Otherwise a host that finds no
+    /// other registered one has to wait, since the store may have lost their registrations.
+    pub first_start: bool,
     /// The address that serves metrics in the Prometheus format.
     pub metrics: SocketAddr,
     /// How soon a change must be in force after the store has confirmed it.
@@ -96,7 +99,7 @@
 
 /// The state that all requests of a gateway share.
 ///
-/// Lock order: `routes`, `registry`, `retry_limits`, `retries`. None of them is held while a lock
+/// Lock order: `routes`, `registry`, `retry_limits`, `retries`, `shared_key`. None of them is held while a lock
 /// of [`DaemonNode`] is acquired, or across an await.
 pub struct Gateway {
     /// The account of all callers.
@@ -111,6 +114,8 @@
     pub propagation_limit: Duration,
     /// The daemon's state outside the gateway: members, shards and configuration.
     pub node: Arc<DaemonNode>,
+    /// Notified when this host has to register again.
+    pub registration_due: Notify,
     /// The registered upstreams.
     pub registry: Mutex<UpstreamRegistry>,
     /// The retry budgets by service.
@@ -121,6 +126,9 @@
     pub routes: Mutex<ActiveRoutes>,
     /// Reads routes, upstreams, hosts and role plans.
     pub source: Arc<dyn DirectorySource>,
+    /// The key that this daemon shares with all others.
+    pub shared_key: Mutex<SharedKey>,
+    first_start: bool,
     retry_limits: Mutex<RetryLimits>,
     /// The number of configurations that shards have been given, used as their revision.
     pub(super) config_counter: AtomicU64,
@@ -233,8 +241,12 @@
             return log::error!("daemon: the settings were not reloaded: {error}");
         }
     };
-    let effective =
-        GatewaySettings { stop_grace: new.stop_grace, retries: new.retries, ..settings.clone() };
+    let effective = GatewaySettings {
+        first_start: new.first_start,
+        stop_grace: new.stop_grace,
+        retries: new.retries,
+        ..settings.clone()
+    };
     if effective != new {
         log::warn!("daemon: addresses, names and news_limit_ms take effect with the next start");
     }
@@ -245,18 +257,6 @@
     }
 }
 
-/// Renews this host's registration, through which new hosts find it.
-async fn renew_registration(gateway: Arc<Gateway>) {
-    loop {
-        tokio::time::sleep(REGISTRATION_PERIOD).await;
-        let settings = &gateway.node.settings;
-        retry_until_ok("renewing the registration of this host", || {
-            gateway.source.register(&settings.host, settings.peer)
-        })
-        .await;
-    }
-}
-
 /// Withdraws readiness, leaves the membership and gives up this daemon's shards, then serves what
 /// the load balancer still sends.
 async fn drain(state: &Arc<GatewayState>, settings: &GatewaySettings) {
@@ -290,19 +290,21 @@
 
 async fn start(setup: GatewaySetup, state: Arc<GatewayState>, peers: TcpListener) -> CliResult<()> {
     let GatewaySetup { dialect, roles, settings, source, store, .. } = setup;
-    let register = || source.register(&settings.host, settings.peer);
+    let register = || source.register(&settings.host, settings.peer, None);
     let registration = retry_until_ok("registering this host", register).await;
     log::info!(host:% = settings.host, life:% = registration.incarnation; "daemon: registered");
     let snapshot = retry_until_ok("reading the configuration", || source.load()).await;
-    let seeds = snapshot.hosts.values().copied().collect();
+    let seeds: Vec<_> = snapshot.hosts.values().copied().collect();
     let parts = NodeDependencies {
         cancels: Arc::new(ConnectionCancel),
         incarnation: Some(registration.incarnation),
         store,
         upstreams: Arc::new(UpstreamClient::new()?),
     };
-    let node =
-        Arc::new(build_node(node_settings(&settings, registration.peer_key, seeds), parts).await?);
+    let peer_key = registration.key.key.clone();
+    let node = Arc::new(build_node(node_settings(&settings, peer_key, seeds), parts).await?);
+    // Before other daemons are heard, as only an era later than this one means a return.
+    node.handle_member_event(MemberEvent::Era(snapshot.seen.era));
     tokio::spawn(serve_links(node.clone(), peers));
     tokio::spawn(gossip::serve_gossip(node.clone()));
     tokio::spawn(gossip::tick_members(node.clone()));
@@ -313,18 +315,24 @@
         response_budget: MemoryBudget::for_responses(),
         connections: ConnectionPool::new(node.clock.clone()),
         dialect,
+        first_start: settings.first_start,
         propagation_limit: settings.propagation_limit,
         node,
+        registration_due: Notify::new(),
         registry: Mutex::new(UpstreamRegistry::default()),
         request_budget: MemoryBudget::for_requests(),
         retries: Mutex::new(BTreeMap::new()),
         retry_limits: Mutex::new(settings.retries),
         routes: Mutex::new(ActiveRoutes::default()),
         source,
+        shared_key: Mutex::new(registration.key),
         config_counter: AtomicU64::new(0),
     });
     let seen = snapshot.seen;
     gateway.apply_snapshot(snapshot);
+    if !settings.first_start {
+        gateway.apply_registry_events([RegistryEvent::HoldPlans]);
+    }
     if state.gateway.set(gateway.clone()).is_err() {
         log::error!("daemon: the gateway was started twice");
     }
@@ -339,7 +347,7 @@
 async fn run_maintenance(gateway: Arc<Gateway>, state: Arc<GatewayState>) {
     loop {
         let now = gateway.node.clock.now();
-        let has_joined = lock(&gateway.node.members).is_joined(now);
+        let has_joined = gateway.has_joined(now);
         let has_routes = lock(&gateway.routes).current().is_some();
         let ready = has_joined && has_routes && !lock(&gateway.registry).is_empty();
         if state.ready.swap(ready, Ordering::Relaxed) != ready {
@@ -354,6 +362,15 @@
 }
 
 impl Gateway {
+    /// Returns whether this daemon knows other daemons, or may assume that there are none.
+    fn has_joined(&self, now: Instant) -> bool {
+        let members = lock(&self.node.members);
+        match self.first_start {
+            true => members.is_joined(now),
+            false => members.has_peers() || members.has_waited_to_join(now),
+        }
+    }
+
     /// Returns the number of daemons that this one knows to be running.
     pub fn host_count(&self) -> usize {
         lock(&self.node.members).running().count()
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -67,7 +67,9 @@
         address: record.address,
         checks_fencing: false,
         domain: record.domain.clone(),
-        draining: record.draining || registry.is_changing(now, id, record),
+        draining: record.draining
+            || registry.is_leaving(id, record)
+            || registry.is_changing(now, id, record),
         incarnation: record.incarnation,
         name: id.clone(),
         kv_blocks: engine.map(|engine| KvBlocks(engine.cache_capacity.0 / BLOCK_TOKENS.0)),
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -27,7 +27,8 @@
         if lock(&node.blocked_peers).contains(&from) {
             continue;
         }
-        match decode_datagram(&node.settings.peer_key, &buffer[..length]) {
+        let keys = lock(&node.peer_keys).clone();
+        match decode_datagram(keys.accepted(), &buffer[..length]) {
             Ok(message) => {
                 counter!("apricotrun_gossip_bytes_received_total").increment(length as u64);
                 node.handle_member_event(MemberEvent::Received(from, message));
@@ -60,6 +61,7 @@
             match action {
                 MemberAction::Send(to, message) => self.send_datagram(to, &message),
                 MemberAction::Changed => self.members_changed(),
+                MemberAction::NewerEra(_) => self.newer_era.notify_one(),
                 MemberAction::NewerRevision(address, revision) => {
                     self.report_peer_revision(address, revision)
                 }
@@ -71,7 +73,8 @@
         if lock(&self.blocked_peers).contains(&to) {
             return;
         }
-        match encode_datagram(&self.settings.peer_key, message) {
+        let keys = lock(&self.peer_keys).clone();
+        match encode_datagram(keys.current(), message) {
             Ok(bytes) => {
                 counter!("apricotrun_gossip_bytes_sent_total").increment(bytes.len() as u64);
                 // A datagram that cannot be sent counts as lost, which the probing tolerates.
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -236,6 +236,7 @@
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
     RequestSpec {
         account: account.clone(),
+        avoid: Vec::new(),
         expected_output: limit,
         inter_token_target: template.inter_token_target.max(Duration::from_millis(1)),
         crash_weight: lock(&node.crashes).weight(now, &fingerprint),
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -225,6 +225,7 @@
     let fingerprint = plain.fingerprint();
     RequestSpec {
         account: plain.account.clone(),
+        avoid: Vec::new(),
         expected_output: Tokens(0),
         inter_token_target: Duration::ZERO,
         crash_weight: lock(&node.crashes).weight(now, &fingerprint),
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -125,7 +125,8 @@
     link: &mut OpenLink,
     frame: &PeerFrame,
 ) -> io::Result<()> {
-    let bytes = match link.context.encode(&node.settings.peer_key, frame) {
+    let keys = lock(&node.peer_keys).clone();
+    let bytes = match link.context.encode(keys.current(), frame) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!("member: dropped a message to {}: {error}", frame.to);
@@ -190,7 +191,8 @@
         }
         let mut bytes = vec![0; length];
         stream.read_exact(&mut bytes).await?;
-        let frame = context.decode(&node.settings.peer_key, &bytes).map_err(|error| {
+        let keys = lock(&node.peer_keys).clone();
+        let frame = context.decode(keys.accepted(), &bytes).map_err(|error| {
             count_dropped("codec");
             io::Error::other(error)
         })?;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
 //! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `flows`,
-//! `blocked_peers`.
+//! `blocked_peers`, `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
 
@@ -16,6 +16,7 @@
 use crate::coordination::store::KeyStore;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
+use crate::protocol::keyring::PeerKeyring;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::links::PeerLinks;
 use crate::transport::log_limiter::LogLimiter;
@@ -68,6 +69,8 @@
     pub gossip: UdpSocket,
     /// The settings that the daemon was started with.
     pub settings: DaemonSettings,
+    /// The keys for messages between daemons.
+    pub peer_keys: Mutex<PeerKeyring>,
     /// The shards of this failure domain, of which this daemon may be owner or backup.
     pub shards: Mutex<ShardTable>,
     /// Wakes the shard timer, so that it computes its next tick again.
@@ -80,6 +83,8 @@
     pub stopping: AtomicBool,
     /// When the daemon started, on the monotonic clock.
     pub started: Instant,
+    /// Notified when another daemon knows of a later era of the platform's store.
+    pub newer_era: Notify,
     /// The key-value store of the platform.
     pub store: Arc<dyn KeyStore>,
     /// The tickets of requests that may run at most once.
--- a/src/transport/tickets.rs
+++ b/src/transport/tickets.rs
@@ -36,7 +36,8 @@
     ) -> Result<TicketId, Refusal> {
         let store_key = binding_key(account, key);
         let own = self.issue_ticket(window);
-        let written = self.store.put(&store_key, own.clone().into_bytes(), StoreVersion(0)).await;
+        let written =
+            self.store.put(&store_key, own.clone().into_bytes(), StoreVersion::ABSENT).await;
         let bound = match written {
             Ok(true) => own,
             Ok(false) | Err(StoreError::Unknown(_)) => self.read_binding(&store_key).await?,
--- a/src/transport/watcher.rs
+++ b/src/transport/watcher.rs
@@ -30,12 +30,12 @@
 
 /// Watches the store until the task is dropped.
 pub async fn watch_store(node: Arc<DaemonNode>) {
-    let mut seen = StoreVersion(0);
+    let mut seen = StoreVersion::ABSENT;
     let mut backoff = MIN_BACKOFF;
     loop {
         if !node.is_watcher() {
             tokio::time::sleep(ROLE_CHECK).await;
-            seen = StoreVersion(0);
+            seen = StoreVersion::ABSENT;
             continue;
         }
         match node.watch_once(&mut seen).await {
@@ -72,7 +72,7 @@
     }
 
     async fn watch_once(self: &Arc<Self>, seen: &mut StoreVersion) -> Result<(), StoreError> {
-        let value = match seen.0 {
+        let value = match seen.revision {
             0 => self.store.get(HEAD_KEY).await?,
             _ => self.store.watch(HEAD_KEY, *seen, WATCH_WAIT).await?,
         };
@@ -89,7 +89,7 @@
             self.handle_config_event(ConfigEvent::Store { documents, revision, since });
         }
         // A lower index means that the store was restored: read it from the start.
-        *seen = if index < *seen { StoreVersion(0) } else { index };
+        *seen = if index < *seen { StoreVersion::ABSENT } else { index };
         Ok(())
     }
 
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -4,6 +4,7 @@
     AdmissionRequest, ClaimPhase, ConfigMessage, GossipMessage, GrantMessage, MemberRecord,
     MemberState, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
 };
+use apricotrun::coordination::store::StoreEra;
 use apricotrun::prelude::*;
 use apricotrun::protocol::codec::{FrameContext, PeerFrame, PeerKey, encode_datagram};
 use apricotrun::state::fleet::StoredDocument;
@@ -102,7 +103,12 @@
 /// Returns the size of a ping datagram with this number of member records, in bytes.
 fn datagram_bytes(updates: usize) -> usize {
     let updates = vec![member_record(); updates];
-    let ping = GossipMessage::Ping { nonce: u64::MAX, revision: Revision(281_050), updates };
+    let ping = GossipMessage::Ping {
+        nonce: u64::MAX,
+        era: StoreEra(9),
+        revision: Revision(281_050),
+        updates,
+    };
     encode_datagram(&key(), &ping).expect("a valid datagram").len()
 }
 
--- a/standins/src/bin/capacity/times.rs
+++ b/standins/src/bin/capacity/times.rs
@@ -139,7 +139,7 @@
         let (mut sender, mut receiver) = (FrameContext::new([0; 16]), FrameContext::new([0; 16]));
         for _ in 0..MESSAGES {
             let bytes = sender.encode(&key(), &frame).expect("a valid frame");
-            black_box(receiver.decode(&key(), &bytes).expect("a valid frame"));
+            black_box(receiver.decode([&key()], &bytes).expect("a valid frame"));
         }
         MESSAGES
     })
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -269,6 +269,7 @@
         let seconds = |tokens: u32, rate: f64| Duration::from_secs_f64(f64::from(tokens) / rate);
         RequestSpec {
             account: account_name(arrival.account),
+            avoid: Vec::new(),
             expected_output: Tokens(arrival.output),
             inter_token_target: Duration::from_secs_f64(self.mix.inter_token_target),
             crash_weight: 0,
--- a/tests/config_replica.rs
+++ b/tests/config_replica.rs
@@ -141,7 +141,7 @@
 
     fn write(&self, key: &str, bytes: Vec<u8>, expected: StoreVersion) -> bool {
         let mut values = self.values.lock().expect("lock not poisoned");
-        if values.get(key).map_or(0, |(version, _)| *version) != expected.0 {
+        if values.get(key).map_or(0, |(version, _)| *version) != expected.revision {
             return false;
         }
         let version = values.values().map(|(version, _)| *version).max().unwrap_or(0) + 1;
@@ -173,7 +173,7 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
         let found = self.values.lock().expect("lock not poisoned").get(key).cloned();
         let value = found.map(|(version, bytes)| {
-            let version = StoreVersion(version);
+            let version = StoreVersion::without_era(version);
             StoredValue { bytes, index: version, lock_index: 0, version }
         });
         async move { Ok(value) }.boxed()
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -32,6 +32,7 @@
         let domain = |name: &str| name.parse::<DomainName>().expect("valid name");
         let mut spec = RequestSpec {
             account: "desk".parse().expect("valid name"),
+            avoid: Vec::new(),
             expected_output: Tokens(100),
             inter_token_target: MILLI * 30,
             crash_weight: 0,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,7 +1,10 @@
 //! Membership, driven by events and over a simulated lossy network of many members.
 
-use apricotrun::coordination::membership::{MemberEvent, PROBE_PERIOD, SUSPICION_TIMEOUT};
+use apricotrun::coordination::membership::{
+    MemberAction, MemberEvent, MemberTable, PROBE_PERIOD, SUSPICION_TIMEOUT,
+};
 use apricotrun::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use apricotrun::coordination::store::StoreEra;
 use apricotrun::prelude::*;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -154,3 +157,27 @@
     let bytes_per_member = (network.bytes - bytes) / FLEET_SIZE as u64;
     assert!(bytes_per_member < 64 * 1024, "{bytes_per_member} bytes sent per member");
 }
+
+#[test]
+fn later_era_of_the_store_is_reported_once_and_passed_on() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(now, record(0, 1, 1), Vec::new(), 1);
+    let ping = |era| GossipMessage::Ping {
+        nonce: 1,
+        era: StoreEra(era),
+        revision: Revision(0),
+        updates: Vec::new(),
+    };
+    let mut receive = |era| table.handle(now, MemberEvent::Received(address(1), ping(era)));
+    let passes_on = |actions: &[MemberAction], era| {
+        actions.iter().any(|action| {
+            matches!(action, MemberAction::Send(_, GossipMessage::Ack { era: sent, .. })
+                if *sent == StoreEra(era))
+        })
+    };
+    for (era, is_news) in [(2, true), (2, false), (1, false)] {
+        let actions = receive(era);
+        assert_eq!(actions.contains(&MemberAction::NewerEra(StoreEra(2))), is_news, "{era}");
+        assert!(passes_on(&actions, 2), "{era}: {actions:?}");
+    }
+}
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -188,6 +188,7 @@
         let id = RequestId { entry: entry_id(entry), sequence: self.sequence };
         let spec = RequestSpec {
             account: "desk".parse().expect("valid name"),
+            avoid: Vec::new(),
             expected_output: Tokens(OUTPUT_TOKENS),
             inter_token_target: Duration::from_millis(30),
             crash_weight: 0,
