--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -4,12 +4,14 @@
 use std::path::{Path, PathBuf};
 
 /// Headers, fields and paths of the platform whose names have no other use.
-const PLATFORM_NAMES: [&str; 17] = [
+const PLATFORM_NAMES: [&str; 21] = [
     "Expect-Instance",
     "Kv-Source",
     "Not-Executed",
     "Prefix-Hash",
+    "Server-Leaving",
     "Server-Seal",
+    "Store-Era",
     "Token-Count",
     "expect-instance",
     "fencing_token",
@@ -19,6 +21,8 @@
     "not-executed",
     "prefix-hash",
     "route_kind",
+    "server-leaving",
+    "store-era",
     "token-count",
     "traffic_split",
     "transfer_handle",
