Back off the prefill worker that is full, not the decode worker beside it

Confirmed: the new test of the flow got RunnerFull. Since workers may now refuse with a time, it happens more often.

ReleaseOutcome::PrefillFull. The registry's part for a returning store is a file of its own, and a record that says draining is used at once also while the copy's records wait (a new test failed: the upstream was used on for up to 6 s after a discarded history).

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -234,6 +234,7 @@
             _ => claim.runner.clone(),
         };
         let outcome = match (failure, outcome) {
+            (UpstreamFailure::Full, ReleaseOutcome::PrefillLost) => ReleaseOutcome::PrefillFull,
             (UpstreamFailure::Full, _) => ReleaseOutcome::RunnerFull,
             (UpstreamFailure::Withheld, _) => ReleaseOutcome::Withheld,
             (UpstreamFailure::Failed, ReleaseOutcome::PrefillLost) => ReleaseOutcome::PrefillFailed,
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -108,7 +108,7 @@
     PrefillLost,
     /// The decode worker or plain upstream failed without a response of its own, or stalled.
     RunnerLost,
-    /// An upstream rejected the attempt for lack of capacity.
+    /// The decode worker or plain upstream rejected the attempt for lack of capacity.
     RunnerFull,
     /// The prefill worker returned an error response.
     PrefillFailed,
@@ -116,6 +116,8 @@
     RunnerFailed,
     /// The entry daemon sent nothing, as an upstream takes no requests from it now.
     Withheld,
+    /// The prefill worker rejected the attempt for lack of capacity.
+    PrefillFull,
 }
 
 /// Messages about one shard, between entry daemons, its owner and its backups.
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -6,6 +6,8 @@
 //! what this daemon knows of them prevails until they have had time to register again. See
 //! docs/PLATFORM.md, "Upstreams", and docs/DESIGN.md, "Store eras".
 
+mod returns;
+
 use crate::coordination::notices::{NoticeBoard, UpstreamNotice};
 use crate::coordination::roles::{ObservedPlan, PlanDecision, PlanRecord};
 use crate::prelude::*;
@@ -18,14 +20,6 @@
 /// The time after the store is restored in which a removed record counts as expired during the
 /// outage: about the interval at which the store is read.
 const OUTAGE_GRACE: Duration = Duration::from_millis(1_200);
-/// How long after the store's return from an older copy a record of that copy that contradicts what
-/// is known is not used. By then a living upstream has written its record again, and the record of
-/// one that is gone has expired.
-const COPY_QUARANTINE: Duration = Duration::from_secs(6);
-/// How long after the store's return from an older copy no role plan is made or begun: the orders
-/// of a plan that the store has lost may still be under way. It covers the time in which a plan's
-/// orders are sent, the timeout of an order, and the time between the orders of two holders.
-const RETURN_HOLDOFF: Duration = Duration::from_secs(20);
 /// How long the incarnations of upstreams that are gone are remembered; a copy from which the store
 /// returns is some seconds old.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(600);
@@ -144,12 +138,7 @@
                 None => self.list(now, records, &mut changes),
             },
             RegistryEvent::Returned { stored_plans, upstreams } => {
-                self.restored_at = Some(now);
-                self.store_lost = false;
-                self.deferred_until = Some(now + COPY_QUARANTINE);
-                self.hold_plans(now);
-                let lost = self.plans.iter_mut().filter(|(name, _)| !stored_plans.contains(*name));
-                lost.for_each(|(_, plan)| plan.mark_lost());
+                self.begin_return(now, &stored_plans);
                 self.merge_copy(now, upstreams, &mut changes);
             }
             RegistryEvent::Noticed(name, incarnation, notice) => {
@@ -210,14 +199,9 @@
     }
 
     /// Returns whether an upstream has said in a response that it is about to stop.
-    pub fn has_left(&self, name: &UpstreamName) -> bool {
-        self.entries.get(name).is_some_and(|entry| self.is_leaving(name, &entry.record))
-    }
-
-    /// Returns whether an upstream with this record has said in a response that it is about to
-    /// stop.
-    pub fn is_leaving(&self, name: &UpstreamName, record: &UpstreamRecord) -> bool {
-        self.notices.is_leaving(name, record.incarnation)
+    pub fn is_leaving(&self, name: &UpstreamName) -> bool {
+        let incarnation = self.incarnation_of(name);
+        incarnation.is_some_and(|incarnation| self.notices.is_leaving(name, incarnation))
     }
 
     /// Returns the upstreams of a service that may not be sent requests because of what they said
@@ -234,7 +218,7 @@
     pub fn quiet_until(&self, now: Instant, service: &ServiceName) -> Option<Instant> {
         let runners = self.of_service(service).filter(|(name, record)| {
             let changes = self.is_changing(now, name, record);
-            let leaves = record.draining || self.is_leaving(name, record);
+            let leaves = record.draining || self.is_leaving(name);
             record.role != UpstreamRole::Prefill && !leaves && !changes
         });
         let quiet = runners
@@ -317,54 +301,6 @@
         self.entries.insert(name, RegistryEntry { expires_at: None, record });
     }
 
-    fn hold_plans(&mut self, now: Instant) {
-        self.plans_held_until = Some(now + RETURN_HOLDOFF);
-    }
-
-    /// Merges the records of an older copy of the store. Those that contradict what is known are
-    /// deferred; an upstream that the copy lacks is used until it should have registered again.
-    fn merge_copy(
-        &mut self,
-        now: Instant,
-        records: BTreeMap<UpstreamName, UpstreamRecord>,
-        changes: &mut Vec<RegistryChange>,
-    ) {
-        self.deferred.clear();
-        let missing = self.entries.keys().filter(|name| !records.contains_key(*name));
-        let missing: Vec<_> = missing.cloned().collect();
-        missing.iter().for_each(|name| self.remove(now, name, changes));
-        for (name, record) in records {
-            let entry = self.entries.get(&name);
-            let expires = entry.is_some_and(|entry| entry.expires_at.is_some());
-            match entry.map(|entry| &entry.record) {
-                Some(known) if *known == record && !expires => {}
-                // An upstream that is draining does not take requests again in this incarnation.
-                Some(known) if known.draining && record.incarnation <= known.incarnation => {}
-                Some(known) if record.incarnation <= known.incarnation => {
-                    self.deferred.insert(name, record);
-                }
-                None if self.has_departed(&name, record.incarnation) => {
-                    self.deferred.insert(name, record);
-                }
-                _ => self.write(name, record, changes),
-            }
-        }
-    }
-
-    fn has_departed(&self, name: &UpstreamName, incarnation: Incarnation) -> bool {
-        self.departures.get(name).is_some_and(|(departed, _)| incarnation <= *departed)
-    }
-
-    /// Uses the deferred records that have not been replaced by newer ones in time.
-    fn use_deferred(&mut self, now: Instant, changes: &mut Vec<RegistryChange>) {
-        if self.deferred_until.is_some_and(|until| now >= until) {
-            self.deferred_until = None;
-            for (name, record) in std::mem::take(&mut self.deferred) {
-                self.write(name, record, changes);
-            }
-        }
-    }
-
     fn remove(&mut self, now: Instant, name: &UpstreamName, changes: &mut Vec<RegistryChange>) {
         let restored_at = self.restored_at.filter(|at| now < *at + OUTAGE_GRACE);
         let Some(entry) = self.entries.get_mut(name) else { return };
--- a/src/coordination/shard/ledger/claims.rs
+++ b/src/coordination/shard/ledger/claims.rs
@@ -71,6 +71,10 @@
                     false => self.pool.orphan_runner(now, attempt),
                 };
             }
+            ReleaseOutcome::PrefillFull => {
+                let full = claim.prefill.as_ref().unwrap_or(&claim.runner);
+                self.pool.record_full(now, full);
+            }
             ReleaseOutcome::RunnerFull => self.pool.record_full(now, &claim.runner),
         }
         self.free_claim(attempt);
--- a/src/transport/gateway/notices.rs
+++ b/src/transport/gateway/notices.rs
@@ -27,7 +27,7 @@
             let registry = lock(&self.registry);
             let incarnation = registry.incarnation_of(name);
             let accepts = registry.accepts_requests(now, name);
-            (incarnation, accepts, registry.has_left(name), registry.is_forbidden(now, name))
+            (incarnation, accepts, registry.is_leaving(name), registry.is_forbidden(now, name))
         };
         let Some(incarnation) = incarnation else { return Err(UpstreamFailure::NothingSent) };
         if leaving {
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -68,7 +68,7 @@
         checks_fencing: false,
         domain: record.domain.clone(),
         draining: record.draining
-            || registry.is_leaving(id, record)
+            || registry.is_leaving(id)
             || registry.is_changing(now, id, record),
         incarnation: record.incarnation,
         name: id.clone(),
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -229,10 +229,31 @@
 
 #[test]
 fn unsent_request_consumes_no_retry() {
-    let mut harness = FlowHarness::new(|spec| spec.retries = Arc::new(NoRetries));
-    harness.start_decoding();
-    let actions = harness.handle(FlowEvent::RunFailed(attempt(1), UpstreamFailure::NothingSent));
-    assert_eq!(admission_requests(&actions).len(), 1);
+    for failure in [UpstreamFailure::NothingSent, UpstreamFailure::Withheld] {
+        let mut harness = FlowHarness::new(|spec| spec.retries = Arc::new(NoRetries));
+        harness.start_decoding();
+        let actions = harness.handle(FlowEvent::RunFailed(attempt(1), failure));
+        assert_eq!(admission_requests(&actions).len(), 1, "{failure:?}");
+    }
+}
+
+/// The owner must back off the worker that is full, not the one that would have run the request.
+#[test]
+fn rejected_prefill_is_released_as_the_prefill_workers() {
+    for (failure, expected) in [
+        (UpstreamFailure::Full, ReleaseOutcome::PrefillFull),
+        (UpstreamFailure::Withheld, ReleaseOutcome::Withheld),
+    ] {
+        let mut harness = FlowHarness::new(|_| {});
+        harness.handle(FlowEvent::Start);
+        harness.grant(1, "d0", ClaimPhase::Prefill);
+        let actions = harness.handle(FlowEvent::PrefillFailed(attempt(1), failure));
+        let outcome = actions.iter().find_map(|action| match action {
+            FlowAction::Abort { outcome, .. } => Some(*outcome),
+            _ => None,
+        });
+        assert_eq!(outcome, Some(expected));
+    }
 }
 
 #[test]
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -158,6 +158,18 @@
     assert_eq!(registry.incarnation_of(&name("a")), Some(Incarnation(2)), "not the deferred one");
 }
 
+#[test]
+fn upstream_that_drains_is_not_used_on_while_the_records_of_the_copy_wait() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let all =
+        |draining| BTreeMap::from([(name("a"), record(draining)), (name("b"), record(false))]);
+    registry.handle(now, returned(all(false), &[]));
+    // The write that says so was in the history that the store has discarded.
+    registry.handle(now + MILLI, RegistryEvent::Listed(all(true)));
+    assert!(!registry.accepts_requests(now + MILLI, &name("a")));
+}
+
 #[test]
 fn upstream_that_the_copy_lacks_is_used_until_its_time_to_reregister_ends() {
     let now = Instant::now();
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -367,3 +367,32 @@
         assert_eq!(refused(&harness.advance(MILLI * 2)).len(), 1, "after {waited:?}");
     }
 }
+
+#[test]
+fn full_prefill_worker_leaves_the_decode_worker_usable() {
+    let mut harness = ShardHarness::owner(&["e1"]);
+    let grant = granted(&harness.request_admission("e1", 1)).remove(0);
+    let attempt = grant.claim.attempt.clone();
+    harness.deliver("e1", ShardMessage::Release(attempt, ReleaseOutcome::PrefillFull));
+    let status = harness.ledger.status(harness.clock.now());
+    let usable = |name: &UpstreamName| {
+        status.upstreams.iter().any(|upstream| upstream.name == *name && upstream.usable)
+    };
+    assert!(usable(&grant.claim.runner));
+    assert!(!usable(&grant.claim.prefill.expect("a prefill worker")));
+}
+
+#[test]
+fn leaving_upstream_is_not_granted_until_it_starts_anew() {
+    let mut harness = ShardHarness::owner(&["e1"]);
+    let first = granted(&harness.request_admission("e1", 1)).remove(0);
+    let leaving = first.claim.runner.clone();
+    harness.start_run(&first);
+    harness.deliver("e1", ShardMessage::Leaving(leaving.clone(), Incarnation(u64::MAX)));
+    harness.configure(|_| {});
+    for sequence in 2..4 {
+        for grant in granted(&harness.request_admission("e1", sequence)) {
+            assert_ne!(grant.claim.runner, leaving);
+        }
+    }
+}
