Apply changes of the membership once a tick

Each record that a datagram brings was applied by itself: roles recomputed, summaries sent, every request told, a line logged. A fleet of 295 hosts that starts at once does this some 300 times on each host, on 0.12 of a core (log: 100 lines of each host in the first second, then suppressed).

Changes are applied together at the next tick, 20 ms later at the most.

--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -74,6 +74,7 @@
         draining: AtomicBool::new(false),
         links: PeerLinks::default(),
         members: Mutex::new(members),
+        members_changed: AtomicBool::new(false),
         newer_era: Notify::new(),
         peer_keys: Mutex::new(PeerKeyring::new(settings.peer_key.clone())),
         sequence: AtomicU64::new(0),
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// The interval between two ticks of the membership protocol.
 const TICK: Duration = Duration::from_millis(20);
@@ -49,6 +50,9 @@
     loop {
         interval.tick().await;
         node.handle_member_event(MemberEvent::Tick);
+        if node.members_changed.swap(false, Ordering::Relaxed) {
+            node.apply_member_changes();
+        }
     }
 }
 
@@ -60,7 +64,9 @@
         for action in actions {
             match action {
                 MemberAction::Send(to, message) => self.send_datagram(to, &message),
-                MemberAction::Changed => self.members_changed(),
+                // A fleet that starts at once reports hundreds of members within a moment, so their
+                // changes are applied together at the next tick.
+                MemberAction::Changed => self.members_changed.store(true, Ordering::Relaxed),
                 MemberAction::NewerEra(_) => self.newer_era.notify_one(),
                 MemberAction::NewerRevision(address, revision) => {
                     self.report_peer_revision(address, revision)
@@ -84,7 +90,7 @@
         }
     }
 
-    fn members_changed(self: &Arc<Self>) {
+    fn apply_member_changes(self: &Arc<Self>) {
         if self.log_limiter.permits(DecisionKind::Members) {
             self.log_members();
         }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -61,6 +61,8 @@
     pub links: PeerLinks,
     /// The id of this daemon.
     pub me: DaemonId,
+    /// Whether the members have changed since the last tick of the membership protocol.
+    pub members_changed: AtomicBool,
     /// The daemons of the deployment as this one knows them.
     pub members: Mutex<MemberTable>,
     /// The order reconcilers of this failure domain, by service.
