Name no retry time before the first worker takes requests again

The request that learns that all workers ask for quiet was refused with the default of 2 s, later ones with the true time.

A refusal of a request that has not run names the later of its own time and the first worker's.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -75,17 +75,36 @@
     kind: RouteKind,
     response: Mutex<Option<UpstreamResponse>>,
     request: InboundRequest,
+    service: ServiceName,
 }
 
 impl ForwardExecutor {
     /// Returns an executor that has sent nothing yet.
-    pub fn new(gateway: Arc<Gateway>, kind: RouteKind, request: InboundRequest) -> Self {
+    pub fn new(
+        gateway: Arc<Gateway>,
+        kind: RouteKind,
+        service: ServiceName,
+        request: InboundRequest,
+    ) -> Self {
         Self {
             gateway,
             prefill_result: Mutex::new(None),
             kind,
             response: Mutex::new(None),
             request,
+            service,
+        }
+    }
+
+    /// Returns a refusal that names no earlier retry time than the one at which an upstream takes
+    /// requests again, if all have asked this daemon to wait.
+    pub fn respect_quiet(&self, refusal: Refusal) -> Refusal {
+        let quiet = self.gateway.refuse_while_quiet(&self.service);
+        match quiet.filter(|_| refusal.verdict == Verdict::NotRun) {
+            Some(quiet) => {
+                Refusal { retry_after: refusal.retry_after.max(quiet.retry_after), ..refusal }
+            }
+            None => refusal,
         }
     }
 
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -94,7 +94,9 @@
         self.log_accepted(&service, &spec);
         let request_id = self.inbound.head.request_id.clone();
         let node = self.gateway.node.clone();
-        let executor = Arc::new(ForwardExecutor::new(self.gateway, self.rule.kind, self.inbound));
+        let executor =
+            ForwardExecutor::new(self.gateway, self.rule.kind, service.clone(), self.inbound);
+        let executor = Arc::new(executor);
         let parts =
             start_request(&node, service, &request_id, spec, executor.clone(), Box::new(NoTrace));
         let log = ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node };
@@ -203,6 +205,7 @@
             buffered_response(Some(response))
         }
         None => {
+            let refusal = executor.respect_quiet(refusal);
             log.finish(ResponseOutcome::Refused(refusal));
             refusal_response(&refusal)
         }
