--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -252,6 +252,7 @@
             let report = CrashReport {
                 attempt: attempt.clone(),
                 fingerprint: self.spec.fingerprint,
+                parts: self.spec.parts.clone(),
                 upstream: failed_upstream.clone(),
                 weight,
             };
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -47,6 +47,8 @@
     pub prefix: Vec<u64>,
     /// The time to prefill the prompt on an idle worker.
     pub prefill_time: Duration,
+    /// The parts of the prompt that other requests may share, from its start.
+    pub parts: Vec<PromptPart>,
     /// The length of the prompt.
     pub prompt: Tokens,
     /// The longest output that the request allows.
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -256,6 +256,8 @@
     pub fingerprint: Fingerprint,
     /// The attempt during which the upstream died.
     pub attempt: AttemptId,
+    /// The parts of the request's prompt that other requests may share, from its start.
+    pub parts: Vec<PromptPart>,
     /// The upstream that died.
     pub upstream: UpstreamName,
     /// The crash weight to add for the request: higher if it was the upstream's only suspect.
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -5,8 +5,8 @@
     FleetConfig, PlacementScope, ServiceTemplate, UpstreamRole, UpstreamSpec,
 };
 pub use crate::state::ids::{
-    AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, RequestId,
-    Revision, ServiceName, UpstreamName,
+    AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, PromptPart,
+    RequestId, Revision, ServiceName, UpstreamName,
 };
 pub use crate::state::units::{KvBlocks, Slots, TokenRate, Tokens};
 pub use crate::state::verdict::{Refusal, RefusalReason, Verdict};
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -250,6 +250,33 @@
     }
 }
 
+/// A part of a prompt that other requests may share, such as a system prompt: the digest of its name
+/// or text, whatever precedes it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct PromptPart(pub u64);
+
+impl PromptPart {
+    /// Returns the part with this name or text.
+    pub fn of(text: &str) -> Self {
+        Self(Fingerprint::of(&[text.as_bytes()]).low_bits())
+    }
+}
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for PromptPart {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_hex("prompt part", text).map(Self)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -31,6 +31,8 @@
     pub max_output: Tokens,
     /// The caller's estimate of the number of output tokens.
     pub length_hint: Option<Tokens>,
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub parts: Vec<PromptPart>,
     /// One hash for each segment of the prompt, taken over all segments up to and with it.
     pub prefix: Vec<u64>,
     /// The number of prompt tokens.
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -155,6 +155,7 @@
             transfer_time: template.link_tokens_per_second.time_for(prompt_tokens),
             outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
+            parts: shape.map(|shape| shape.parts.clone()).unwrap_or_default(),
             prefix: shape.map(|shape| shape.prefix.clone()).unwrap_or_default(),
             progress_period: self.rule.kind.is_stream().then_some(PROGRESS_PERIOD),
             prompt: prompt_tokens,
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -170,12 +170,12 @@
     if !admitted.account.services.contains_key(&template.service) {
         return Err(Refusal::not_run(RefusalReason::Forbidden));
     }
-    let prompt = prompt_text(&body, format).ok_or_else(bad_request)?;
+    let prompt = read_prompt(&body, format).ok_or_else(bad_request)?;
     let limit = body["max_tokens"].as_u64().or(body["max_completion_tokens"].as_u64());
     let limit =
         Tokens(limit.unwrap_or(DEFAULT_MAX_TOKENS).clamp(1, u64::from(u32::MAX / 4)) as u32);
     let returning = head.is_returning(node, &account);
-    let spec = build_spec(node, template, &account, &prompt, limit, returning);
+    let spec = build_spec(node, template, &account, prompt, limit, returning);
     let writer = ResponseWriter {
         _permit: admitted.permit,
         account,
@@ -208,14 +208,26 @@
     Refusal::not_run(RefusalReason::BadRequest)
 }
 
-/// Returns the prompt, or the text contents of a chat's messages joined by line breaks.
-fn prompt_text(body: &Value, format: ResponseFormat) -> Option<String> {
+/// The prompt of a completion.
+struct PromptText {
+    /// The messages of a chat but the last, which other requests may share.
+    parts: Vec<PromptPart>,
+    /// The prompt, or the text contents of a chat's messages joined by line breaks.
+    text: String,
+}
+
+fn read_prompt(body: &Value, format: ResponseFormat) -> Option<PromptText> {
     match format {
-        ResponseFormat::Text => body["prompt"].as_str().map(str::to_owned),
+        ResponseFormat::Text => {
+            Some(PromptText { parts: Vec::new(), text: body["prompt"].as_str()?.to_owned() })
+        }
         ResponseFormat::Chat => {
             let messages = body["messages"].as_array()?;
             let texts = messages.iter().filter_map(|message| message["content"].as_str());
-            Some(texts.collect::<Vec<_>>().join("\n"))
+            let texts: Vec<_> = texts.collect();
+            let shared = texts.split_last().map_or(&[][..], |(_, shared)| shared);
+            let parts = shared.iter().map(|text| PromptPart::of(text)).collect();
+            Some(PromptText { parts, text: texts.join("\n") })
         }
     }
 }
@@ -226,11 +238,12 @@
     node: &Arc<DaemonNode>,
     template: &ServiceTemplate,
     account: &AccountName,
-    prompt: &str,
+    prompt: PromptText,
     limit: Tokens,
     returning: bool,
 ) -> RequestSpec {
     let now = node.clock.now();
+    let PromptText { parts, text: prompt } = prompt;
     let length = Tokens((prompt.len() as u32).div_ceil(BYTES_PER_TOKEN).max(1));
     let service = template.service.as_str().as_bytes();
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
@@ -249,7 +262,8 @@
         id: node.next_request_id(),
         transfer_time: template.link_tokens_per_second.time_for(length),
         prefill_time: template.prefill_tokens_per_second.time_for(length),
-        prefix: prefix_digests(prompt, template.block_tokens),
+        parts,
+        prefix: prefix_digests(&prompt, template.block_tokens),
         prompt: length,
         max_output: limit,
         outlives_caller: false,
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -238,6 +238,7 @@
         id: node.next_request_id(),
         transfer_time: Duration::ZERO,
         prefill_time: Duration::ZERO,
+        parts: Vec::new(),
         prefix: Vec::new(),
         prompt: Tokens(0),
         max_output: Tokens(0),
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -4,7 +4,7 @@
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
-    ClaimPhase, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+    ClaimPhase, CrashReport, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
@@ -207,6 +207,7 @@
             }
             FlowAction::ReportCrash(report) => {
                 let now = self.node.clock.now();
+                self.log_crash(&report);
                 lock(&self.node.crashes).record(now, report.clone());
                 self.node.broadcast(None, &PeerMessage::Crash(report));
             }
@@ -269,6 +270,19 @@
         }
     }
 
+    fn log_crash(&self, report: &CrashReport) {
+        if self.node.log_limiter.permits(DecisionKind::Lost) {
+            let parts: Vec<_> = report.parts.iter().map(PromptPart::to_string).collect();
+            log::info!(
+                request = self.request_id.as_str(), attempt = report.attempt.attempt,
+                upstream:% = report.upstream, weight = report.weight,
+                fingerprint:% = report.fingerprint, parts = parts.join(",").as_str(),
+                tokens = self.flow.tokens();
+                "entry: an upstream ended under the request"
+            );
+        }
+    }
+
     fn log_disconnect(&self) {
         if self.node.log_limiter.permits(DecisionKind::CallerLeft) {
             log::info!(
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -282,6 +282,7 @@
             id: RequestId { entry: self.entry.clone(), sequence: id },
             transfer_time: seconds(arrival.prompt, self.mix.link_rate),
             prefill_time: seconds(arrival.prompt, self.mix.prefill_rate),
+            parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(arrival.prompt),
             max_output: Tokens(arrival.output),
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -45,6 +45,7 @@
             id: request(),
             transfer_time: MILLI * 10,
             prefill_time: MILLI * 100,
+            parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
             max_output: Tokens(100),
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -201,6 +201,7 @@
             id: id.clone(),
             transfer_time: Duration::from_millis(10),
             prefill_time: Duration::from_millis(100),
+            parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
             max_output: Tokens(OUTPUT_TOKENS),
