Refuse requests with a part of a prompt that crashes upstreams

Cause: crashes are counted for the fingerprint of a whole request. Requests that share one part of their prompts and nothing else have a fingerprint each, so that no count exceeds one. The class: evidence that is keyed by what differs between requests. Ruled out: deaths that are not recognized (all are logged as Died), workers that end by themselves (one run without a token at each).

Change: crashes are counted for each part that requests can share (PartLedger).

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -1,6 +1,7 @@
-//! Counts the upstreams that died while they ran a request, so that a request that crashes its
-//! upstreams is eventually refused.
+//! Counts the upstreams that died while they ran requests, so that a request that crashes its
+//! upstreams, or that shares the cause with others, is eventually refused.
 
+use crate::coordination::crashing_parts::PartLedger;
 use crate::coordination::flow::MAX_CRASH_WEIGHT;
 use crate::coordination::messages::CrashReport;
 use crate::prelude::*;
@@ -20,15 +21,18 @@
     last_crash: Instant,
 }
 
-/// The requests that crashed upstreams, by fingerprint.
+/// What crashed upstreams: whole requests, by fingerprint, and parts of prompts.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
+    /// The parts of prompts that requests share.
+    pub parts: PartLedger,
     entries: BTreeMap<Fingerprint, CrashEntry>,
 }
 
 impl CrashLedger {
     /// Records a crash report. Repeated reports of one attempt count once.
-    pub fn record(&mut self, now: Instant, report: CrashReport) {
+    pub fn record(&mut self, now: Instant, report: &CrashReport) {
+        self.parts.record_crash(now, &report.upstream, &report.parts);
         self.prune(now);
         let entry = self
             .entries
@@ -36,7 +40,7 @@
             .or_insert_with(|| CrashEntry { attempts: BTreeMap::new(), last_crash: now });
         entry.last_crash = now;
         if entry.attempts.len() < MAX_CRASH_WEIGHT as usize {
-            entry.attempts.insert(report.attempt, report.weight);
+            entry.attempts.insert(report.attempt.clone(), report.weight);
         }
     }
 
--- /dev/null
+++ b/src/coordination/crashing_parts.rs
@@ -0,0 +1,214 @@
+//! Finds the parts of prompts that crash the upstreams that run them, whatever else the requests
+//! hold.
+//!
+//! Requests that share such a part may differ in everything else, so that none of them ever repeats.
+//! See docs/DESIGN.md, "Parts of prompts that crash upstreams".
+
+use crate::prelude::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The number of upstreams that must have ended under requests with a part until it is refused.
+pub const MIN_CRASHES: usize = 3;
+/// The minimum time between the first and the last of these crashes. Upstreams that end together
+/// have a cause of their own.
+const MIN_SPAN: Duration = Duration::from_millis(300);
+/// Reports that name one upstream within this time are about the same crash.
+const SAME_CRASH: Duration = Duration::from_secs(1);
+/// How long a run must have written for its parts to count as sound. A run that is lost earlier is
+/// suspected of the crash.
+pub const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
+/// The time from the last crash to the first request that is let through as a trial.
+pub const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// The factor by which this time grows with each trial that crashed an upstream.
+const TRIAL_BACKOFF: u32 = 8;
+/// The time after which a crash no longer counts.
+const RETENTION: Duration = Duration::from_secs(3600);
+/// The maximum number of crashes that are kept.
+const MAX_CRASHES: usize = 256;
+
+/// Whether a request may be sent to upstreams, by the parts of its prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartVerdict {
+    /// No part is known to crash upstreams.
+    Sound,
+    /// A part crashes upstreams, and this request tries whether it still does.
+    Trial,
+    /// A part crashes upstreams, and callers are told to come back after this time.
+    Refused(Duration),
+}
+
+/// An upstream that ended under requests.
+#[derive(Debug)]
+struct UpstreamCrash {
+    at: Instant,
+    upstream: UpstreamName,
+}
+
+/// What is known of a part.
+#[derive(Debug, Default)]
+struct PartEntry {
+    /// The numbers of the crashes under requests with the part, since a run with it was sound.
+    crashes: BTreeSet<u64>,
+    /// The largest number of parts that came before it in a prompt.
+    depth: usize,
+    /// When this daemon last let a request with the part through as a trial.
+    trial_at: Option<Instant>,
+}
+
+/// The parts of prompts that are suspected of crashing upstreams, and those that are refused.
+#[derive(Debug, Default)]
+pub struct PartLedger {
+    crashes: BTreeMap<u64, UpstreamCrash>,
+    next_crash: u64,
+    parts: BTreeMap<PromptPart, PartEntry>,
+    refused: BTreeSet<PromptPart>,
+}
+
+impl PartLedger {
+    /// Records that an upstream ended under a request with these parts, which are in the order of
+    /// the prompt.
+    pub fn record_crash(&mut self, now: Instant, upstream: &UpstreamName, parts: &[PromptPart]) {
+        self.prune(now);
+        if parts.is_empty() {
+            return;
+        }
+        let crash = self.crash_number(now, upstream);
+        for (depth, part) in parts.iter().enumerate() {
+            let entry = self.parts.entry(*part).or_default();
+            entry.crashes.insert(crash);
+            entry.depth = entry.depth.max(depth);
+        }
+        self.limit_size();
+        self.update_refused();
+    }
+
+    /// Records that a run with these parts, which began to write at `began`, was not lost in
+    /// [`SOUND_OUTPUT_TIME`]. Returns the parts that other daemons suspect too and must be told of.
+    pub fn record_output(&mut self, began: Instant, parts: &[PromptPart]) -> Vec<PromptPart> {
+        let first_crash = |entry: &PartEntry| entry.crashes.first().map(|crash| self.at(*crash));
+        let is_suspected = |part: &&PromptPart| {
+            let first = self.parts.get(part).and_then(first_crash);
+            first.is_some_and(|first| first < began)
+        };
+        let suspected: Vec<_> = parts.iter().filter(is_suspected).copied().collect();
+        // One crash refuses nothing, so that the others need not know.
+        let is_shared = |part: &&PromptPart| self.parts[part].crashes.len() > 1;
+        let shared = suspected.iter().filter(is_shared).copied().collect();
+        self.mark_sound(&suspected);
+        shared
+    }
+
+    /// Drops the crashes of parts with which a run was sound.
+    pub fn mark_sound(&mut self, parts: &[PromptPart]) {
+        let mut changed = false;
+        for part in parts {
+            changed |= self.parts.remove(part).is_some();
+        }
+        if changed {
+            self.update_refused();
+        }
+    }
+
+    /// Returns the parts whose requests are refused.
+    pub fn refused(&self) -> &BTreeSet<PromptPart> {
+        &self.refused
+    }
+
+    /// Returns whether a request with these parts is refused now, for how long, and the refused
+    /// parts. A time of zero means that a trial is due, see [`PartLedger::begin_trial`].
+    pub fn check(&self, now: Instant, parts: &[PromptPart]) -> Option<(Duration, Vec<PromptPart>)> {
+        let refused: Vec<_> =
+            parts.iter().filter(|part| self.refused.contains(part)).copied().collect();
+        let due = refused.iter().filter_map(|part| self.trial_due(part)).max()?;
+        Some((due.saturating_duration_since(now), refused))
+    }
+
+    /// Lets one request with these parts through as a trial.
+    pub fn begin_trial(&mut self, now: Instant, parts: &[PromptPart]) {
+        for part in parts {
+            if let Some(entry) = self.parts.get_mut(part) {
+                entry.trial_at = Some(now);
+            }
+        }
+    }
+
+    fn at(&self, crash: u64) -> Instant {
+        self.crashes[&crash].at
+    }
+
+    /// Returns the number of a crash, which is new unless it was reported already.
+    fn crash_number(&mut self, now: Instant, upstream: &UpstreamName) -> u64 {
+        let mut recent = self.crashes.iter().rev();
+        let known = recent.find(|(_, crash)| {
+            crash.upstream == *upstream && now.saturating_duration_since(crash.at) < SAME_CRASH
+        });
+        if let Some((number, _)) = known {
+            return *number;
+        }
+        self.next_crash += 1;
+        let crash = UpstreamCrash { at: now, upstream: upstream.clone() };
+        self.crashes.insert(self.next_crash, crash);
+        self.next_crash
+    }
+
+    /// Returns when a refused part is next tried.
+    fn trial_due(&self, part: &PromptPart) -> Option<Instant> {
+        let entry = self.parts.get(part)?;
+        let times: Vec<_> = entry.crashes.iter().map(|crash| self.at(*crash)).collect();
+        let last = times.last()?;
+        let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_DELAY);
+        let factor = TRIAL_BACKOFF.saturating_pow(pauses.count() as u32);
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor).min(RETENTION);
+        Some(entry.trial_at.map_or(*last, |trial| trial.max(*last)) + delay)
+    }
+
+    /// Determines the refused parts. A crash is put down to the part that is deepest in the prompt
+    /// and has enough crashes: the parts before it are shared with more requests, and are refused
+    /// only for further crashes.
+    fn update_refused(&mut self) {
+        let mut candidates: Vec<_> =
+            self.parts.iter().filter(|(_, entry)| entry.crashes.len() >= MIN_CRASHES).collect();
+        candidates.sort_by_key(|(part, entry)| (Reverse(entry.depth), **part));
+        let mut explained = BTreeSet::new();
+        let mut refused = BTreeSet::new();
+        for (part, entry) in candidates {
+            let unexplained = entry.crashes.difference(&explained);
+            let times: Vec<_> = unexplained.map(|crash| self.at(*crash)).collect();
+            let span = times.last().zip(times.first()).map(|(last, first)| *last - *first);
+            if times.len() >= MIN_CRASHES && span >= Some(MIN_SPAN) {
+                refused.insert(*part);
+                explained.extend(entry.crashes.iter().copied());
+            }
+        }
+        self.refused = refused;
+    }
+
+    fn prune(&mut self, now: Instant) {
+        let old = self.crashes.iter().take_while(|(_, crash)| now >= crash.at + RETENTION);
+        let old: Vec<_> = old.map(|(number, _)| *number).collect();
+        old.into_iter().for_each(|number| self.drop_crash(number));
+    }
+
+    /// Drops the oldest crashes, first those that no refused part has.
+    fn limit_size(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let is_needed = |number: &u64| {
+                self.refused.iter().any(|part| self.parts[part].crashes.contains(number))
+            };
+            let mut numbers = self.crashes.keys();
+            let oldest = numbers.find(|number| !is_needed(number)).or(self.crashes.keys().next());
+            let Some(oldest) = oldest.copied() else { return };
+            self.drop_crash(oldest);
+        }
+    }
+
+    fn drop_crash(&mut self, number: u64) {
+        self.crashes.remove(&number);
+        self.parts.retain(|_, entry| {
+            entry.crashes.remove(&number);
+            !entry.crashes.is_empty()
+        });
+        self.update_refused();
+    }
+}
--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -4,6 +4,7 @@
     ActiveAttempt, CachedPrefill, FlowAction, FlowStage, KvHandle, MAX_CRASH_WEIGHT, RETRY_AFTER,
     RequestFlow, UpstreamFailure,
 };
+use crate::coordination::crashing_parts::SOUND_OUTPUT_TIME;
 use crate::coordination::messages::{ClaimPhase, CrashReport, GrantMessage, ReleaseOutcome};
 use crate::prelude::*;
 
@@ -68,7 +69,8 @@
         let active = ActiveAttempt {
             domain,
             grant,
-            token_received: false,
+            first_token: None,
+            output_reported: false,
             cached_prefill,
             stall_deadline,
             next_report,
@@ -167,7 +169,7 @@
         }
         active.stall_deadline = due;
         active.cached_prefill = None;
-        active.token_received = true;
+        let began = *active.first_token.get_or_insert(now);
         if active.grant.claim.phase != ClaimPhase::Run {
             active.grant.claim.phase = ClaimPhase::Run;
             let domain = active.domain.clone();
@@ -175,9 +177,23 @@
         }
         self.next_token += 1;
         out.push(FlowAction::Emit(text));
+        if now >= began + SOUND_OUTPUT_TIME {
+            self.report_output(out);
+        }
         self.report_progress(now, out);
     }
 
+    /// Reports once for each attempt that its output clears the parts of the prompt.
+    pub(super) fn report_output(&mut self, out: &mut Vec<FlowAction>) {
+        let FlowStage::Active(active) = &mut self.stage else { return };
+        let Some(began) = active.first_token.filter(|_| !self.spec.parts.is_empty()) else {
+            return;
+        };
+        if !std::mem::replace(&mut active.output_reported, true) {
+            out.push(FlowAction::ReportOutput { began, parts: self.spec.parts.clone() });
+        }
+    }
+
     fn report_progress(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         let produced = Tokens(self.tokens().saturating_mul(self.spec.tokens_per_index));
         let FlowStage::Active(active) = &mut self.stage else { return };
@@ -225,7 +241,8 @@
         let prefill_survives = outcome == ReleaseOutcome::RunnerLost && not_fetched;
         self.cached_prefill = active.cached_prefill.clone().filter(|_| prefill_survives);
         let reuses_prefill = self.usable_prefill(now).is_some();
-        let no_token = !active.token_received;
+        let no_token = active.first_token.is_none();
+        let is_sound = active.first_token.is_some_and(|first| now >= first + SOUND_OUTPUT_TIME);
         let not_sent = matches!(failure, UpstreamFailure::NothingSent | UpstreamFailure::Withheld);
         let not_executed = not_sent || failure == UpstreamFailure::Full;
         let may_have_executed = active.running && !not_executed;
@@ -252,7 +269,7 @@
             let report = CrashReport {
                 attempt: attempt.clone(),
                 fingerprint: self.spec.fingerprint,
-                parts: self.spec.parts.clone(),
+                parts: if is_sound { Vec::new() } else { self.spec.parts.clone() },
                 upstream: failed_upstream.clone(),
                 weight,
             };
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -1,9 +1,11 @@
 //! The inputs and outputs of a request flow: its specification, events and actions.
 
+use crate::coordination::crashing_parts::PartVerdict;
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use crate::prelude::*;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,6 +49,8 @@
     pub prefix: Vec<u64>,
     /// The time to prefill the prompt on an idle worker.
     pub prefill_time: Duration,
+    /// Whether the parts of the prompt are known to crash upstreams.
+    pub part_verdict: PartVerdict,
     /// The parts of the prompt that other requests may share, from its start.
     pub parts: Vec<PromptPart>,
     /// The length of the prompt.
@@ -143,6 +147,8 @@
     CallerDisconnected,
     /// The shard may have a new owner.
     OwnerChanged,
+    /// Requests with these parts in their prompts are refused from now on.
+    PartsRefused(Arc<BTreeSet<PromptPart>>),
     /// The time that [`RequestFlow::next_wake`] returned has come.
     ///
     /// [`RequestFlow::next_wake`]: super::RequestFlow::next_wake
@@ -204,6 +210,14 @@
     Emit(String),
     /// Record that an upstream died, and broadcast it to all daemons.
     ReportCrash(CrashReport),
+    /// Record that a run with these parts in its prompt, which began to write at `began`, was not
+    /// lost in [`SOUND_OUTPUT_TIME`](crate::coordination::crashing_parts::SOUND_OUTPUT_TIME).
+    ReportOutput {
+        /// When the first token of the attempt arrived.
+        began: Instant,
+        /// The parts of the prompt that other requests may share.
+        parts: Vec<PromptPart>,
+    },
     /// Count a dropped token event or end marker, which belongs to another request or attempt or
     /// repeats an index.
     Dropped,
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -11,8 +11,10 @@
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
 };
 
+use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
 use crate::coordination::messages::{AdmissionRequest, GrantMessage, ReleaseOutcome, ShardMessage};
 use crate::prelude::*;
+use std::collections::BTreeSet;
 
 /// The time without a reply from a shard owner after which an admission request is sent again.
 const ADMISSION_RETRY: Duration = Duration::from_millis(250);
@@ -42,8 +44,10 @@
     /// The failure domain whose owner granted the upstreams.
     domain: DomainName,
     grant: GrantMessage,
-    /// Whether this attempt has delivered a token.
-    token_received: bool,
+    /// When the first token of this attempt arrived.
+    first_token: Option<Instant>,
+    /// Whether [`FlowAction::ReportOutput`] has been returned for this attempt.
+    output_reported: bool,
     /// The prefill result that this attempt uses, until its first token arrives.
     cached_prefill: Option<CachedPrefill>,
     /// When the attempt counts as stalled if it makes no progress.
@@ -179,6 +183,7 @@
                 self.fail_attempt(now, &attempt, failure, ReleaseOutcome::RunnerLost, &mut out);
             }
             FlowEvent::CallerDisconnected => self.handle_caller_disconnected(&mut out),
+            FlowEvent::PartsRefused(parts) => self.handle_parts_refused(&parts, &mut out),
             FlowEvent::OwnerChanged => self.resend_admission_request(now, &mut out),
             FlowEvent::Tick => self.handle_tick(now, &mut out),
         }
@@ -237,6 +242,10 @@
         if self.crash_weight >= MAX_CRASH_WEIGHT {
             return self.refuse(Refusal::not_run(RefusalReason::CrashesUpstream), out);
         }
+        if let PartVerdict::Refused(wait) = self.spec.part_verdict {
+            let refusal = Refusal::not_run(RefusalReason::CrashesUpstream);
+            return self.refuse(refusal.with_retry_after(wait), out);
+        }
         if self.spec.domains.is_empty() {
             return self.refuse(Refusal::not_run(RefusalReason::NoUpstream), out);
         }
@@ -403,7 +412,24 @@
         self.refuse(refusal, out);
     }
 
+    /// Ends the request if it has one of these parts and has not begun to write: it would crash the
+    /// next upstream.
+    fn handle_parts_refused(&mut self, refused: &BTreeSet<PromptPart>, out: &mut Vec<FlowAction>) {
+        let writes =
+            matches!(&self.stage, FlowStage::Active(active) if active.first_token.is_some());
+        let is_trial = self.spec.part_verdict == PartVerdict::Trial;
+        if writes || is_trial || !self.spec.parts.iter().any(|part| refused.contains(part)) {
+            return;
+        }
+        self.may_have_run |= self.is_running();
+        self.withdraw(out);
+        self.abort(ReleaseOutcome::Cancelled, false, out);
+        let refusal = Refusal::not_run(RefusalReason::CrashesUpstream);
+        self.refuse(refusal.with_retry_after(FIRST_TRIAL_DELAY), out);
+    }
+
     fn finish(&mut self, outcome: ReleaseOutcome, out: &mut Vec<FlowAction>) {
+        self.report_output(out);
         if let FlowStage::Active(active) = std::mem::replace(&mut self.stage, FlowStage::Ended) {
             let attempt = active.grant.claim.attempt;
             if self.spec.progress_period.is_some() {
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -256,7 +256,8 @@
     pub fingerprint: Fingerprint,
     /// The attempt during which the upstream died.
     pub attempt: AttemptId,
-    /// The parts of the request's prompt that other requests may share, from its start.
+    /// The parts of the request's prompt that other requests may share, from its start; none if the
+    /// run had written for long enough to clear them.
     pub parts: Vec<PromptPart>,
     /// The upstream that died.
     pub upstream: UpstreamName,
@@ -280,6 +281,9 @@
     Config(ConfigMessage),
     /// Broadcast that an upstream died while it ran a request.
     Crash(CrashReport),
+    /// Broadcast that runs with these parts of prompts write output, after upstreams had ended under
+    /// requests with them.
+    SoundParts(Vec<PromptPart>),
     /// From a stopping daemon to the successor that takes over its tickets.
     Tickets(crate::coordination::tickets::TicketHandover),
     /// From the successor: it has taken over the tickets.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod config;
 pub mod crashes;
+pub mod crashing_parts;
 pub mod flow;
 pub mod membership;
 pub mod messages;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -26,6 +26,11 @@
     format!("watch/{domain}")
 }
 
+/// Returns the key by which the daemons that may try a refused part of prompts are ranked.
+pub fn part_key(part: &PromptPart) -> String {
+    format!("part/{part}")
+}
+
 fn score(key: &str, daemon: &DaemonId) -> u64 {
     Fingerprint::of(&[key.as_bytes(), daemon.host.as_str().as_bytes()]).low_bits()
 }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -123,6 +123,7 @@
         let engine = self.routes.services.get(service)?.engine;
         let InboundHead { prompt, resume_after, .. } = &self.inbound.head;
         let shape = prompt.as_ref();
+        let parts = shape.map_or(&[][..], |shape| &shape.parts);
         let prompt_tokens = shape.map_or(Tokens(0), |shape| shape.prompt);
         let max_output = shape.map_or(Tokens(0), |shape| shape.max_output);
         let expected_output =
@@ -138,12 +139,14 @@
         let retries = self.gateway.retry_budget(service);
         retries.record_request(self.accepted);
         let avoid = lock(&self.gateway.registry).forbidden_upstreams(self.accepted, service);
+        let crash_weight = lock(&node.crashes).weight(self.accepted, &fingerprint);
+        let part_verdict = node.check_parts(self.accepted, parts);
         Some(RequestSpec {
             account: self.gateway.account.clone(),
             avoid,
             expected_output,
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
-            crash_weight: lock(&node.crashes).weight(self.accepted, &fingerprint),
+            crash_weight,
             deadline: self.deadline,
             domains: self.gateway.candidate_domains(template),
             prefill_retention: template.prefill_retention,
@@ -155,7 +158,8 @@
             transfer_time: template.link_tokens_per_second.time_for(prompt_tokens),
             outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
-            parts: shape.map(|shape| shape.parts.clone()).unwrap_or_default(),
+            part_verdict,
+            parts: parts.to_vec(),
             prefix: shape.map(|shape| shape.prefix.clone()).unwrap_or_default(),
             progress_period: self.rule.kind.is_stream().then_some(PROGRESS_PERIOD),
             prompt: prompt_tokens,
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -247,12 +247,14 @@
     let length = Tokens((prompt.len() as u32).div_ceil(BYTES_PER_TOKEN).max(1));
     let service = template.service.as_str().as_bytes();
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
+    let crash_weight = lock(&node.crashes).weight(now, &fingerprint);
+    let part_verdict = node.check_parts(now, &parts);
     RequestSpec {
         account: account.clone(),
         avoid: Vec::new(),
         expected_output: limit,
         inter_token_target: template.inter_token_target.max(Duration::from_millis(1)),
-        crash_weight: lock(&node.crashes).weight(now, &fingerprint),
+        crash_weight,
         deadline: now + template.deadline,
         domains: node.domains_of(template),
         first_index: 0,
@@ -262,6 +264,7 @@
         id: node.next_request_id(),
         transfer_time: template.link_tokens_per_second.time_for(length),
         prefill_time: template.prefill_tokens_per_second.time_for(length),
+        part_verdict,
         parts,
         prefix: prefix_digests(&prompt, template.block_tokens),
         prompt: length,
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -1,5 +1,6 @@
 //! Proxies calls to plain services, and issues tickets for calls that must not run twice.
 
+use crate::coordination::crashing_parts::PartVerdict;
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
 use crate::coordination::tickets::{StoredResponse, TicketDecision, TicketId, TicketResult};
@@ -238,6 +239,7 @@
         id: node.next_request_id(),
         transfer_time: Duration::ZERO,
         prefill_time: Duration::ZERO,
+        part_verdict: PartVerdict::Sound,
         parts: Vec::new(),
         prefix: Vec::new(),
         prompt: Tokens(0),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod client;
 pub mod consul;
+pub mod crashes;
 #[cfg(feature = "interface")]
 pub mod daemon;
 pub mod engine;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -49,7 +49,7 @@
     pub clock: Arc<dyn Clock>,
     /// The configuration in force, and its replication between daemons.
     pub config: Mutex<ConfigReplica>,
-    /// The request bodies that crashed upstreams.
+    /// The requests, and parts of prompts, that crashed upstreams.
     pub crashes: Mutex<CrashLedger>,
     /// Limits the rate of log lines about requests and members.
     pub log_limiter: LogLimiter,
@@ -225,10 +225,8 @@
                 self.route_shard_message(from, service, domain, message);
             }
             PeerMessage::Config(message) => self.handle_config_message(from, message),
-            PeerMessage::Crash(report) => {
-                let now = self.clock.now();
-                lock(&self.crashes).record(now, report);
-            }
+            PeerMessage::Crash(report) => self.record_crash(&report),
+            PeerMessage::SoundParts(parts) => self.mark_sound(&parts),
             PeerMessage::Tickets(handover) => self.take_over_tickets(from, handover),
             PeerMessage::TicketsAccepted(_) => self.handover_confirmed.notify_one(),
             PeerMessage::TicketSuccessor { from, successor } => {
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -4,11 +4,12 @@
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
-    ClaimPhase, CrashReport, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
 use crate::transport::claims::release_claim;
+use crate::transport::crashes::join_parts;
 use crate::transport::engine::CallContext;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::{DaemonNode, lock};
@@ -206,11 +207,10 @@
                 self.send_part(ResponsePart::Text(text)).await;
             }
             FlowAction::ReportCrash(report) => {
-                let now = self.node.clock.now();
                 self.log_crash(&report);
-                lock(&self.node.crashes).record(now, report.clone());
-                self.node.broadcast(None, &PeerMessage::Crash(report));
+                self.node.report_crash(report);
             }
+            FlowAction::ReportOutput { began, parts } => self.node.record_output(began, &parts),
             FlowAction::Dropped => {
                 counter!("apricotrun_foreign_tokens_dropped_total").increment(1);
             }
@@ -272,11 +272,10 @@
 
     fn log_crash(&self, report: &CrashReport) {
         if self.node.log_limiter.permits(DecisionKind::Lost) {
-            let parts: Vec<_> = report.parts.iter().map(PromptPart::to_string).collect();
             log::info!(
                 request = self.request_id.as_str(), attempt = report.attempt.attempt,
                 upstream:% = report.upstream, weight = report.weight,
-                fingerprint:% = report.fingerprint, parts = parts.join(",").as_str(),
+                fingerprint:% = report.fingerprint, parts = join_parts(&report.parts).as_str(),
                 tokens = self.flow.tokens();
                 "entry: an upstream ended under the request"
             );
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -10,6 +10,7 @@
 };
 use crate::policy::report::{PolicyReport, RequestRecord};
 use crate::policy::timeline::Timeline;
+use apricotrun::coordination::crashing_parts::PartVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -282,6 +283,7 @@
             id: RequestId { entry: self.entry.clone(), sequence: id },
             transfer_time: seconds(arrival.prompt, self.mix.link_rate),
             prefill_time: seconds(arrival.prompt, self.mix.prefill_rate),
+            part_verdict: PartVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(arrival.prompt),
@@ -387,7 +389,9 @@
             FlowAction::Finish => self.finish(now, id),
             FlowAction::Refuse(refusal) => self.refuse(now, id, &refusal),
             FlowAction::Emit(_) | FlowAction::OpenResponse | FlowAction::Dropped => {}
-            FlowAction::AttemptFailed { .. } | FlowAction::ReportCrash(_) => {}
+            FlowAction::AttemptFailed { .. }
+            | FlowAction::ReportCrash(_)
+            | FlowAction::ReportOutput { .. } => {}
         }
     }
 
--- /dev/null
+++ b/tests/crashing_parts.rs
@@ -0,0 +1,123 @@
+//! Tests of how the parts of prompts that crash upstreams are found.
+
+use apricotrun::coordination::crashing_parts::PartLedger;
+use apricotrun::prelude::*;
+
+const FIRST: PromptPart = PromptPart(1);
+const BAD: PromptPart = PromptPart(2);
+const OTHER: PromptPart = PromptPart(3);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A ledger and the time that has passed.
+struct LedgerHarness {
+    ledger: PartLedger,
+    now: Instant,
+}
+
+impl LedgerHarness {
+    fn new() -> Self {
+        Self { ledger: PartLedger::default(), now: Instant::now() }
+    }
+
+    /// Reports that upstream `number` ended under requests with these parts.
+    fn crash(&mut self, number: u32, requests: &[&[PromptPart]]) {
+        let upstream = format!("u{number}").parse().expect("a valid name");
+        for parts in requests {
+            self.ledger.record_crash(self.now, &upstream, parts);
+        }
+    }
+
+    /// Reports crashes of one upstream a second.
+    fn crashes(&mut self, numbers: std::ops::Range<u32>, requests: &[&[PromptPart]]) {
+        for number in numbers {
+            self.now += SECOND;
+            self.crash(number, requests);
+        }
+    }
+
+    fn refused(&self) -> Vec<PromptPart> {
+        self.ledger.refused().iter().copied().collect()
+    }
+
+    fn trial_wait(&self) -> Option<Duration> {
+        self.ledger.check(self.now, &[FIRST, BAD]).map(|(wait, _)| wait)
+    }
+}
+
+#[test]
+fn part_is_refused_after_three_crashes_and_the_parts_before_it_are_not() {
+    let mut harness = LedgerHarness::new();
+    harness.crashes(0..2, &[&[FIRST, BAD]]);
+    assert_eq!(harness.refused(), []);
+    harness.crashes(2..3, &[&[FIRST, BAD]]);
+    assert_eq!(harness.refused(), [BAD]);
+}
+
+/// Other requests on the same upstreams are lost without output too, and reported before or after.
+#[test]
+fn sound_requests_lost_in_the_same_crashes_are_not_blamed_in_any_order() {
+    for requests in [[&[FIRST, BAD][..], &[FIRST]], [&[FIRST], &[FIRST, BAD]]] {
+        let mut harness = LedgerHarness::new();
+        harness.crashes(0..9, &requests);
+        assert_eq!(harness.refused(), [BAD]);
+    }
+}
+
+#[test]
+fn first_part_is_refused_if_it_crashes_upstreams_with_different_parts_after_it() {
+    let mut harness = LedgerHarness::new();
+    for number in 0..3 {
+        harness.crashes(number..number + 1, &[&[BAD, PromptPart(10 + u64::from(number))]]);
+    }
+    assert_eq!(harness.refused(), [BAD]);
+}
+
+/// A lost rack or a lost power supply takes many upstreams at once, with whatever they run.
+#[test]
+fn upstreams_that_end_together_refuse_nothing() {
+    let mut harness = LedgerHarness::new();
+    for number in 0..14 {
+        harness.crash(number, &[&[FIRST, BAD]]);
+        harness.now += Duration::from_millis(15);
+    }
+    assert_eq!(harness.refused(), []);
+}
+
+#[test]
+fn reports_of_one_upstream_within_a_second_count_once() {
+    let mut harness = LedgerHarness::new();
+    for _ in 0..9 {
+        harness.crash(0, &[&[BAD], &[BAD]]);
+        harness.now += Duration::from_millis(100);
+    }
+    assert_eq!(harness.refused(), []);
+}
+
+#[test]
+fn part_with_which_a_later_run_writes_is_allowed_again() {
+    let mut harness = LedgerHarness::new();
+    harness.crashes(0..3, &[&[BAD]]);
+    let before = harness.now - SECOND * 9;
+    assert_eq!(harness.ledger.record_output(before, &[BAD]), [], "it began before the crashes");
+    assert_eq!(harness.refused(), [BAD]);
+    assert_eq!(harness.ledger.record_output(harness.now, &[BAD, OTHER]), [BAD]);
+    assert_eq!(harness.refused(), []);
+    harness.crashes(3..5, &[&[BAD]]);
+    assert_eq!(harness.refused(), [], "earlier crashes no longer count");
+}
+
+/// Each trial of a part that still crashes costs an upstream, so that they become rare.
+#[test]
+fn trials_become_rarer_with_each_that_crashes_an_upstream() {
+    let mut harness = LedgerHarness::new();
+    harness.crashes(0..3, &[&[FIRST, BAD]]);
+    for (number, wait) in [(3, 2), (4, 16), (5, 128)] {
+        assert_eq!(harness.trial_wait(), Some(SECOND * wait));
+        harness.now += SECOND * wait;
+        assert_eq!(harness.trial_wait(), Some(Duration::ZERO));
+        harness.ledger.begin_trial(harness.now, &[BAD]);
+        assert_eq!(harness.trial_wait(), Some(SECOND * wait), "one request at a time");
+        harness.crash(number, &[&[FIRST, BAD]]);
+    }
+    assert_eq!(harness.ledger.check(harness.now, &[FIRST]), None);
+}
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -1,5 +1,6 @@
 //! Harness that drives one request flow with events and a manual clock.
 
+use apricotrun::coordination::crashing_parts::PartVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -45,6 +46,7 @@
             id: request(),
             transfer_time: MILLI * 10,
             prefill_time: MILLI * 100,
+            part_verdict: PartVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -2,8 +2,9 @@
 
 mod harness;
 
+use apricotrun::coordination::crashing_parts::PartVerdict;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RetryLimiter, UpstreamFailure,
+    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
 use apricotrun::coordination::messages::{ClaimPhase, ReleaseOutcome, ShardMessage};
 use apricotrun::prelude::*;
@@ -384,6 +385,58 @@
     assert_eq!(refusal.verdict, Verdict::NotRun);
 }
 
+fn with_shared_part(spec: &mut RequestSpec) {
+    spec.parts = vec![PromptPart(1)];
+}
+
+fn refused_parts() -> FlowEvent {
+    FlowEvent::PartsRefused(Arc::new([PromptPart(1)].into()))
+}
+
+#[test]
+fn request_with_a_part_refused_meanwhile_is_refused_unless_it_writes() {
+    let mut waiting = FlowHarness::new(with_shared_part);
+    waiting.handle(FlowEvent::Start);
+    let refusal = refusal_of(&waiting.handle(refused_parts())).expect("a refusal");
+    assert_eq!(refusal.reason, RefusalReason::CrashesUpstream);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    let mut decoding = FlowHarness::new(with_shared_part);
+    decoding.start_decoding();
+    let actions = decoding.handle(refused_parts());
+    assert_eq!(refusal_of(&actions).expect("a refusal").verdict, Verdict::MayHaveRun);
+    assert!(actions.iter().any(|action| matches!(action, FlowAction::Abort { .. })));
+    let mut writing = FlowHarness::new(with_shared_part);
+    writing.start_decoding();
+    writing.valid_token(1, 0);
+    assert_eq!(writing.handle(refused_parts()), []);
+    let mut trial = FlowHarness::new(|spec| {
+        with_shared_part(spec);
+        spec.part_verdict = PartVerdict::Trial;
+    });
+    trial.handle(FlowEvent::Start);
+    assert_eq!(trial.handle(refused_parts()), []);
+}
+
+/// A run that has written for a while clears its parts, and does not name them when it is lost.
+#[test]
+fn crash_report_names_the_parts_only_of_a_run_that_has_hardly_written() {
+    for (time, parts) in [(MILLI * 499, vec![PromptPart(1)]), (MILLI * 500, Vec::new())] {
+        let mut harness = FlowHarness::new(with_shared_part);
+        harness.start_decoding();
+        harness.valid_token(1, 0);
+        harness.clock.advance(time);
+        let actions = harness.valid_token(1, 1);
+        let cleared = |action: &FlowAction| matches!(action, FlowAction::ReportOutput { .. });
+        assert_eq!(actions.iter().any(cleared), parts.is_empty(), "{actions:?}");
+        let actions = harness.handle(FlowEvent::RunFailed(attempt(1), UpstreamFailure::Died));
+        let report = actions.iter().find_map(|action| match action {
+            FlowAction::ReportCrash(report) => Some(report.parts.clone()),
+            _ => None,
+        });
+        assert_eq!(report, Some(parts));
+    }
+}
+
 #[test]
 fn non_retryable_call_is_not_executed_twice() {
     let mut harness = FlowHarness::plain(false);
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -4,6 +4,7 @@
 
 use crate::Operation;
 use apricotrun::coordination::claims::ClaimSet;
+use apricotrun::coordination::crashing_parts::PartVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -201,6 +202,7 @@
             id: id.clone(),
             transfer_time: Duration::from_millis(10),
             prefill_time: Duration::from_millis(100),
+            part_verdict: PartVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
@@ -285,6 +287,7 @@
             FlowAction::OpenResponse
             | FlowAction::AttemptFailed { .. }
             | FlowAction::ReportCrash(_)
+            | FlowAction::ReportOutput { .. }
             | FlowAction::Dropped => {}
         }
     }
