Bring daemons that missed crash reports to the same refusals

Cause: crash reports are broadcast once; a daemon that starts later, or was cut off, has an empty ledger and sends on what all others refuse. The class: state that only a broadcast builds. The same held for whole requests, which are counted by fingerprint; both go by the same way now.

Change: probes carry a digest of what the sender refuses because of crashes; where it differs, both daemons send each other their history with ages. A part that was refused and then found sound keeps the time of that, so that an old history does not bring its crashes back. What a daemon does for this is bound to its probes and does not grow with the fleet.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -3,7 +3,7 @@
 
 use crate::coordination::crashing_parts::PartLedger;
 use crate::coordination::flow::MAX_CRASH_WEIGHT;
-use crate::coordination::messages::CrashReport;
+use crate::coordination::messages::{CrashDigest, CrashReport, RequestHistory};
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
@@ -21,6 +21,12 @@
     last_crash: Instant,
 }
 
+impl CrashEntry {
+    fn weight(&self) -> u32 {
+        self.attempts.values().sum()
+    }
+}
+
 /// What crashed upstreams: whole requests, by fingerprint, and parts of prompts.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -34,13 +40,47 @@
     pub fn record(&mut self, now: Instant, report: &CrashReport) {
         self.parts.record_crash(now, &report.upstream, &report.parts);
         self.prune(now);
+        self.insert(now, report.fingerprint, &report.attempt, report.weight);
+    }
+
+    /// Returns what is known of the refused requests, for another daemon.
+    pub fn histories(&self, now: Instant) -> Vec<RequestHistory> {
+        let refused = self.entries.iter().filter(|(_, entry)| entry.weight() >= MAX_CRASH_WEIGHT);
+        let history = |(fingerprint, entry): (&Fingerprint, &CrashEntry)| RequestHistory {
+            fingerprint: *fingerprint,
+            attempts: entry.attempts.iter().map(|(id, weight)| (id.clone(), *weight)).collect(),
+            last_crash: now.saturating_duration_since(entry.last_crash),
+        };
+        refused.map(history).collect()
+    }
+
+    /// Adds what another daemon knows.
+    pub fn merge(&mut self, now: Instant, histories: &[RequestHistory]) {
+        self.prune(now);
+        for history in histories {
+            let Some(last_crash) = now.checked_sub(history.last_crash) else { continue };
+            for (attempt, weight) in &history.attempts {
+                self.insert(last_crash, history.fingerprint, attempt, *weight);
+            }
+        }
+    }
+
+    /// Returns the digest of all that is refused.
+    pub fn digest(&self) -> CrashDigest {
+        let refused = self.entries.iter().filter(|(_, entry)| entry.weight() >= MAX_CRASH_WEIGHT);
+        let bits = refused.map(|(fingerprint, _)| fingerprint.low_bits());
+        let parts = self.parts.refused().iter().map(|part| part.0);
+        bits.chain(parts).fold(CrashDigest::default(), CrashDigest::toggle)
+    }
+
+    fn insert(&mut self, at: Instant, fingerprint: Fingerprint, attempt: &AttemptId, weight: u32) {
         let entry = self
             .entries
-            .entry(report.fingerprint)
-            .or_insert_with(|| CrashEntry { attempts: BTreeMap::new(), last_crash: now });
-        entry.last_crash = now;
+            .entry(fingerprint)
+            .or_insert_with(|| CrashEntry { attempts: BTreeMap::new(), last_crash: at });
+        entry.last_crash = entry.last_crash.max(at);
         if entry.attempts.len() < MAX_CRASH_WEIGHT as usize {
-            entry.attempts.insert(report.attempt.clone(), report.weight);
+            entry.attempts.insert(attempt.clone(), weight);
         }
     }
 
@@ -48,9 +88,7 @@
     /// its last crash.
     pub fn weight(&self, now: Instant, fingerprint: &Fingerprint) -> u32 {
         match self.entries.get(fingerprint) {
-            Some(entry) if now < entry.last_crash + CRASH_RETENTION => {
-                entry.attempts.values().sum()
-            }
+            Some(entry) if now < entry.last_crash + CRASH_RETENTION => entry.weight(),
             _ => 0,
         }
     }
--- a/src/coordination/crashing_parts.rs
+++ b/src/coordination/crashing_parts.rs
@@ -4,6 +4,7 @@
 //! Requests that share such a part may differ in everything else, so that none of them ever repeats.
 //! See docs/DESIGN.md, "Parts of prompts that crash upstreams".
 
+use crate::coordination::messages::PartHistory;
 use crate::prelude::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,8 @@
 const RETENTION: Duration = Duration::from_secs(3600);
 /// The maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 256;
+/// The maximum number of parts that are remembered because they were refused and found sound.
+const MAX_CLEARED: usize = 256;
 
 /// Whether a request may be sent to upstreams, by the parts of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,6 +63,9 @@
 #[derive(Debug, Default)]
 pub struct PartLedger {
     crashes: BTreeMap<u64, UpstreamCrash>,
+    /// When parts that had been refused were found sound: crashes before do not count, also if
+    /// another daemon reports them again.
+    cleared: BTreeMap<PromptPart, Instant>,
     next_crash: u64,
     parts: BTreeMap<PromptPart, PartEntry>,
     refused: BTreeSet<PromptPart>,
@@ -85,8 +91,13 @@
 
     /// Records that a run with these parts, which began to write at `began`, was not lost in
     /// [`SOUND_OUTPUT_TIME`]. Returns the parts that other daemons suspect too and must be told of.
-    pub fn record_output(&mut self, began: Instant, parts: &[PromptPart]) -> Vec<PromptPart> {
-        let first_crash = |entry: &PartEntry| entry.crashes.first().map(|crash| self.at(*crash));
+    pub fn record_output(
+        &mut self,
+        now: Instant,
+        began: Instant,
+        parts: &[PromptPart],
+    ) -> Vec<PromptPart> {
+        let first_crash = |entry: &PartEntry| self.times(entry).first().copied();
         let is_suspected = |part: &&PromptPart| {
             let first = self.parts.get(part).and_then(first_crash);
             first.is_some_and(|first| first < began)
@@ -95,21 +106,67 @@
         // One crash refuses nothing, so that the others need not know.
         let is_shared = |part: &&PromptPart| self.parts[part].crashes.len() > 1;
         let shared = suspected.iter().filter(is_shared).copied().collect();
-        self.mark_sound(&suspected);
+        self.mark_sound(now, &suspected);
         shared
     }
 
     /// Drops the crashes of parts with which a run was sound.
-    pub fn mark_sound(&mut self, parts: &[PromptPart]) {
+    pub fn mark_sound(&mut self, now: Instant, parts: &[PromptPart]) {
         let mut changed = false;
         for part in parts {
             changed |= self.parts.remove(part).is_some();
+            if self.refused.contains(part) {
+                self.clear(now, *part);
+            }
         }
         if changed {
             self.update_refused();
         }
     }
 
+    /// Returns what is known of the parts that are or were refused, for another daemon.
+    pub fn histories(&self, now: Instant) -> Vec<PartHistory> {
+        let known: BTreeSet<_> = self.refused.iter().chain(self.cleared.keys()).copied().collect();
+        let history = |part| {
+            let entry = self.parts.get(&part);
+            let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
+            let age = |at: Instant| now.saturating_duration_since(at);
+            PartHistory {
+                part,
+                crashes: crashes
+                    .map(|number| &self.crashes[number])
+                    .map(|crash| (crash.upstream.clone(), age(crash.at)))
+                    .collect(),
+                depth: entry.map_or(0, |entry| entry.depth as u32),
+                sound: self.cleared.get(&part).map(|at| age(*at)),
+            }
+        };
+        known.into_iter().map(history).collect()
+    }
+
+    /// Adds what another daemon knows.
+    pub fn merge(&mut self, now: Instant, histories: &[PartHistory]) {
+        for history in histories {
+            if let Some(sound) = history.sound.and_then(|age| now.checked_sub(age)) {
+                self.clear(sound, history.part);
+            }
+            let cleared = self.cleared.get(&history.part).copied();
+            let crashes = history.crashes.iter().filter_map(|(upstream, age)| {
+                Some((upstream, now.checked_sub(*age)?)).filter(|(_, at)| Some(*at) > cleared)
+            });
+            let numbers: Vec<_> =
+                crashes.map(|(upstream, at)| self.crash_number(at, upstream)).collect();
+            if !numbers.is_empty() {
+                let entry = self.parts.entry(history.part).or_default();
+                entry.crashes.extend(numbers);
+                entry.depth = entry.depth.max(history.depth as usize);
+            }
+        }
+        self.prune(now);
+        self.limit_size();
+        self.update_refused();
+    }
+
     /// Returns the parts whose requests are refused.
     pub fn refused(&self) -> &BTreeSet<PromptPart> {
         &self.refused
@@ -133,21 +190,44 @@
         }
     }
 
-    fn at(&self, crash: u64) -> Instant {
-        self.crashes[&crash].at
+    /// Drops the crashes of a part up to the time at which it was found sound.
+    fn clear(&mut self, sound: Instant, part: PromptPart) {
+        let sound = self.cleared.get(&part).map_or(sound, |known| sound.max(*known));
+        self.cleared.insert(part, sound);
+        if let Some(entry) = self.parts.get_mut(&part) {
+            entry.crashes.retain(|number| self.crashes[number].at > sound);
+        }
+        self.parts.retain(|_, entry| !entry.crashes.is_empty());
+        if self.cleared.len() > MAX_CLEARED {
+            let oldest = self.cleared.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.cleared.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns the times of a part's crashes in their order.
+    fn times(&self, entry: &PartEntry) -> Vec<Instant> {
+        self.sorted_times(entry.crashes.iter())
+    }
+
+    fn sorted_times<'a>(&self, numbers: impl Iterator<Item = &'a u64>) -> Vec<Instant> {
+        let mut times: Vec<_> = numbers.map(|number| self.crashes[number].at).collect();
+        times.sort_unstable();
+        times
     }
 
     /// Returns the number of a crash, which is new unless it was reported already.
-    fn crash_number(&mut self, now: Instant, upstream: &UpstreamName) -> u64 {
+    fn crash_number(&mut self, at: Instant, upstream: &UpstreamName) -> u64 {
+        let apart = |crash: &UpstreamCrash| at.max(crash.at) - at.min(crash.at);
         let mut recent = self.crashes.iter().rev();
-        let known = recent.find(|(_, crash)| {
-            crash.upstream == *upstream && now.saturating_duration_since(crash.at) < SAME_CRASH
-        });
+        let known =
+            recent.find(|(_, crash)| crash.upstream == *upstream && apart(crash) < SAME_CRASH);
         if let Some((number, _)) = known {
             return *number;
         }
         self.next_crash += 1;
-        let crash = UpstreamCrash { at: now, upstream: upstream.clone() };
+        let crash = UpstreamCrash { at, upstream: upstream.clone() };
         self.crashes.insert(self.next_crash, crash);
         self.next_crash
     }
@@ -155,7 +235,7 @@
     /// Returns when a refused part is next tried.
     fn trial_due(&self, part: &PromptPart) -> Option<Instant> {
         let entry = self.parts.get(part)?;
-        let times: Vec<_> = entry.crashes.iter().map(|crash| self.at(*crash)).collect();
+        let times = self.times(entry);
         let last = times.last()?;
         let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_DELAY);
         let factor = TRIAL_BACKOFF.saturating_pow(pauses.count() as u32);
@@ -173,8 +253,7 @@
         let mut explained = BTreeSet::new();
         let mut refused = BTreeSet::new();
         for (part, entry) in candidates {
-            let unexplained = entry.crashes.difference(&explained);
-            let times: Vec<_> = unexplained.map(|crash| self.at(*crash)).collect();
+            let times = self.sorted_times(entry.crashes.difference(&explained));
             let span = times.last().zip(times.first()).map(|(last, first)| *last - *first);
             if times.len() >= MIN_CRASHES && span >= Some(MIN_SPAN) {
                 refused.insert(*part);
@@ -185,7 +264,8 @@
     }
 
     fn prune(&mut self, now: Instant) {
-        let old = self.crashes.iter().take_while(|(_, crash)| now >= crash.at + RETENTION);
+        self.cleared.retain(|_, at| now < *at + RETENTION);
+        let old = self.crashes.iter().filter(|(_, crash)| now >= crash.at + RETENTION);
         let old: Vec<_> = old.map(|(number, _)| *number).collect();
         old.into_iter().for_each(|number| self.drop_crash(number));
     }
--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -7,7 +7,7 @@
 
 mod probing;
 
-use crate::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use crate::coordination::messages::{CrashDigest, GossipMessage, MemberRecord, MemberState};
 use crate::coordination::store::StoreEra;
 use crate::prelude::*;
 use rand::Rng;
@@ -39,6 +39,8 @@
 pub enum MemberEvent {
     /// A gossip message was received from this address.
     Received(SocketAddr, GossipMessage),
+    /// This daemon refuses this from now on, because it crashes upstreams.
+    Crashes(CrashDigest),
     /// The platform's store responded to this daemon in this era.
     Era(StoreEra),
     /// This daemon applied the configuration of this revision.
@@ -60,6 +62,8 @@
     Changed,
     /// Another daemon knows of a later era of the platform's store than this one did.
     NewerEra(StoreEra),
+    /// The daemon at this address refuses something else than this one because of crashes.
+    OtherCrashes(SocketAddr),
     /// The daemon at this address has a configuration newer than this daemon's, of this revision.
     NewerRevision(SocketAddr, Revision),
 }
@@ -97,6 +101,8 @@
 /// This daemon's view of the membership.
 #[derive(Debug)]
 pub struct MemberTable {
+    /// What this daemon refuses because it crashes upstreams.
+    crashes: CrashDigest,
     /// The latest era of the platform's store that this daemon knows of.
     era: StoreEra,
     sync_delay: Duration,
@@ -137,6 +143,7 @@
             probe: None,
             probe_count: 0,
             relays: BTreeMap::new(),
+            crashes: CrashDigest::default(),
             revision: Revision(0),
             rng: ChaCha8Rng::seed_from_u64(seed),
             seeds,
@@ -148,6 +155,7 @@
         let mut out = Vec::new();
         match event {
             MemberEvent::Received(from, message) => self.receive(now, from, message, &mut out),
+            MemberEvent::Crashes(crashes) => self.crashes = crashes,
             MemberEvent::Era(era) => self.era = self.era.max(era),
             MemberEvent::Revision(revision) => self.revision = revision,
             MemberEvent::Leave => {
@@ -225,17 +233,19 @@
         out: &mut Vec<MemberAction>,
     ) {
         match message {
-            GossipMessage::Ping { nonce, era, revision, updates } => {
+            GossipMessage::Ping { nonce, crashes, era, revision, updates } => {
                 self.merge_all(now, updates, out);
+                self.check_crashes(from, crashes, out);
                 self.check_era(era, out);
                 self.check_revision(from, revision, out);
                 let updates = self.collect_updates();
-                let (era, revision) = (self.era, self.revision);
-                let ack = GossipMessage::Ack { nonce, era, revision, updates };
+                let (crashes, era, revision) = (self.crashes, self.era, self.revision);
+                let ack = GossipMessage::Ack { nonce, crashes, era, revision, updates };
                 out.push(MemberAction::Send(from, ack));
             }
-            GossipMessage::Ack { nonce, era, revision, updates } => {
+            GossipMessage::Ack { nonce, crashes, era, revision, updates } => {
                 self.merge_all(now, updates, out);
+                self.check_crashes(from, crashes, out);
                 self.check_era(era, out);
                 self.check_revision(from, revision, out);
                 self.handle_ack(nonce, out);
@@ -263,6 +273,12 @@
         }
     }
 
+    fn check_crashes(&self, from: SocketAddr, crashes: CrashDigest, out: &mut Vec<MemberAction>) {
+        if crashes != self.crashes {
+            out.push(MemberAction::OtherCrashes(from));
+        }
+    }
+
     fn check_era(&mut self, era: StoreEra, out: &mut Vec<MemberAction>) {
         if era > self.era {
             self.era = era;
@@ -286,8 +302,9 @@
             self.probe = None;
         }
         if let Some(relay) = self.relays.remove(&nonce) {
-            let (nonce, era, revision) = (relay.nonce, self.era, Revision(0));
-            let ack = GossipMessage::Ack { nonce, era, revision, updates: Vec::new() };
+            let (nonce, revision) = (relay.nonce, Revision(0));
+            let (crashes, era) = (self.crashes, self.era);
+            let ack = GossipMessage::Ack { nonce, crashes, era, revision, updates: Vec::new() };
             out.push(MemberAction::Send(relay.requester, ack));
         }
     }
@@ -356,8 +373,8 @@
     }
 
     fn ping(&mut self, nonce: u64) -> GossipMessage {
-        let (era, revision) = (self.era, self.revision);
-        GossipMessage::Ping { nonce, era, revision, updates: self.collect_updates() }
+        let (crashes, era, revision) = (self.crashes, self.era, self.revision);
+        GossipMessage::Ping { nonce, crashes, era, revision, updates: self.collect_updates() }
     }
 
     /// Sends a record directly to the members of its failure domain. Other members learn it from
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -200,6 +200,8 @@
     Ping {
         /// A number that the [`GossipMessage::Ack`] repeats.
         nonce: u64,
+        /// What the sender refuses because it crashes upstreams.
+        crashes: CrashDigest,
         /// The latest era of the platform's store that the sender knows of.
         era: StoreEra,
         /// The sender's configuration revision.
@@ -211,6 +213,8 @@
     Ack {
         /// The nonce of the probe.
         nonce: u64,
+        /// What the sender refuses because it crashes upstreams.
+        crashes: CrashDigest,
         /// The latest era of the platform's store that the sender knows of.
         era: StoreEra,
         /// The sender's configuration revision.
@@ -265,6 +269,43 @@
     pub weight: u32,
 }
 
+/// A digest of what a daemon refuses because it crashes upstreams; equal digests mean that two
+/// daemons refuse the same.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct CrashDigest(pub u64);
+
+impl CrashDigest {
+    /// Returns the digest with one more refused request or part; a second time removes it.
+    pub fn toggle(self, bits: u64) -> Self {
+        Self(self.0 ^ bits)
+    }
+}
+
+/// What a daemon knows of a part of prompts that crashes upstreams, or has stopped to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartHistory {
+    /// The part.
+    pub part: PromptPart,
+    /// The upstreams that ended under requests with the part, and how long ago.
+    pub crashes: Vec<(UpstreamName, Duration)>,
+    /// The largest number of parts that came before it in a prompt.
+    pub depth: u32,
+    /// How long ago a run with the part was found sound, if it was refused before.
+    pub sound: Option<Duration>,
+}
+
+/// What a daemon knows of a request that is refused because it crashed upstreams.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestHistory {
+    /// The fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// The attempts that crashed upstreams, and the weight of each crash.
+    pub attempts: Vec<(AttemptId, u32)>,
+    /// How long ago the last crash was.
+    pub last_crash: Duration,
+}
+
 /// All messages that daemons exchange over TCP.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -284,6 +325,14 @@
     /// Broadcast that runs with these parts of prompts write output, after upstreams had ended under
     /// requests with them.
     SoundParts(Vec<PromptPart>),
+    /// Everything that the sender refuses because it crashes upstreams, for a daemon that refuses
+    /// something else: it has started later or has missed reports.
+    CrashHistory {
+        /// The parts of prompts.
+        parts: Vec<PartHistory>,
+        /// The requests.
+        requests: Vec<RequestHistory>,
+    },
     /// From a stopping daemon to the successor that takes over its tickets.
     Tickets(crate::coordination::tickets::TicketHandover),
     /// From the successor: it has taken over the tickets.
--- a/src/transport/crashes.rs
+++ b/src/transport/crashes.rs
@@ -2,12 +2,14 @@
 
 use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
 use crate::coordination::flow::FlowEvent;
-use crate::coordination::messages::{CrashReport, PeerMessage};
+use crate::coordination::membership::MemberEvent;
+use crate::coordination::messages::{CrashReport, PartHistory, PeerMessage, RequestHistory};
 use crate::coordination::ownership::{part_key, rank_daemons};
 use crate::prelude::*;
 use crate::transport::node::{DaemonNode, lock};
 use metrics::{counter, gauge};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 impl DaemonNode {
@@ -25,9 +27,10 @@
 
     /// Records that a run with these parts, which began to write at `began`, goes on.
     pub fn record_output(self: &Arc<Self>, began: Instant, parts: &[PromptPart]) {
+        let now = self.clock.now();
         let mut shared = Vec::new();
         self.change_refused_parts(|node| {
-            shared = lock(&node.crashes).parts.record_output(began, parts);
+            shared = lock(&node.crashes).parts.record_output(now, began, parts);
         });
         if !shared.is_empty() {
             self.broadcast(None, &PeerMessage::SoundParts(shared));
@@ -36,7 +39,34 @@
 
     /// Records that another daemon has found these parts sound.
     pub fn mark_sound(&self, parts: &[PromptPart]) {
-        self.change_refused_parts(|node| lock(&node.crashes).parts.mark_sound(parts));
+        let now = self.clock.now();
+        self.change_refused_parts(|node| lock(&node.crashes).parts.mark_sound(now, parts));
+    }
+
+    /// Sends all that this daemon refuses to a member that refuses something else.
+    pub fn send_crash_history(self: &Arc<Self>, address: SocketAddr) {
+        let now = self.clock.now();
+        let (parts, requests) = {
+            let crashes = lock(&self.crashes);
+            (crashes.parts.histories(now), crashes.histories(now))
+        };
+        if parts.is_empty() && requests.is_empty() {
+            return;
+        }
+        if let Some(record) = self.find_peer(address) {
+            log::debug!("member: sends the crash history to {}", record.daemon);
+            self.send_to(&record, PeerMessage::CrashHistory { parts, requests });
+        }
+    }
+
+    /// Adds what another daemon knows of crashes.
+    pub fn merge_crash_history(&self, parts: &[PartHistory], requests: &[RequestHistory]) {
+        let now = self.clock.now();
+        self.change_refused_parts(|node| {
+            let mut crashes = lock(&node.crashes);
+            crashes.merge(now, requests);
+            crashes.parts.merge(now, parts);
+        });
     }
 
     /// Returns whether a request with these parts may be sent to upstreams. Trials are due at one
@@ -63,7 +93,12 @@
     fn change_refused_parts(&self, change: impl FnOnce(&Self)) {
         let before = lock(&self.crashes).parts.refused().clone();
         change(self);
-        let after = lock(&self.crashes).parts.refused().clone();
+        let (after, digest) = {
+            let crashes = lock(&self.crashes);
+            (crashes.parts.refused().clone(), crashes.digest())
+        };
+        let now = self.clock.now();
+        lock(&self.members).handle(now, MemberEvent::Crashes(digest));
         if after == before {
             return;
         }
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -1,7 +1,7 @@
 //! Sends and receives the datagrams of the membership protocol, and runs its timer.
 
 use crate::coordination::membership::{MemberAction, MemberEvent};
-use crate::coordination::messages::{GossipMessage, MemberState};
+use crate::coordination::messages::{GossipMessage, MemberRecord, MemberState};
 use crate::prelude::*;
 use crate::protocol::codec::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 use crate::transport::log_limiter::DecisionKind;
@@ -68,6 +68,7 @@
                 // changes are applied together at the next tick.
                 MemberAction::Changed => self.members_changed.store(true, Ordering::Relaxed),
                 MemberAction::NewerEra(_) => self.newer_era.notify_one(),
+                MemberAction::OtherCrashes(address) => self.send_crash_history(address),
                 MemberAction::NewerRevision(address, revision) => {
                     self.report_peer_revision(address, revision)
                 }
@@ -117,13 +118,14 @@
     }
 
     fn report_peer_revision(self: &Arc<Self>, address: SocketAddr, revision: Revision) {
-        let daemon = {
-            let members = lock(&self.members);
-            let record = members.running().find(|record| record.peer == address);
-            record.map(|record| record.daemon.clone())
-        };
-        if let Some(daemon) = daemon {
-            self.handle_peer_revision(daemon, revision);
+        if let Some(record) = self.find_peer(address) {
+            self.handle_peer_revision(record.daemon, revision);
         }
     }
+
+    /// Returns the record of the running member at this peer address.
+    pub fn find_peer(&self, address: SocketAddr) -> Option<MemberRecord> {
+        let members = lock(&self.members);
+        members.running().find(|record| record.peer == address).cloned()
+    }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -227,6 +227,9 @@
             PeerMessage::Config(message) => self.handle_config_message(from, message),
             PeerMessage::Crash(report) => self.record_crash(&report),
             PeerMessage::SoundParts(parts) => self.mark_sound(&parts),
+            PeerMessage::CrashHistory { parts, requests } => {
+                self.merge_crash_history(&parts, &requests);
+            }
             PeerMessage::Tickets(handover) => self.take_over_tickets(from, handover),
             PeerMessage::TicketsAccepted(_) => self.handover_confirmed.notify_one(),
             PeerMessage::TicketSuccessor { from, successor } => {
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -1,8 +1,8 @@
 //! Measures the encoded sizes of messages between daemons.
 
 use apricotrun::coordination::messages::{
-    AdmissionRequest, ClaimPhase, ConfigMessage, GossipMessage, GrantMessage, MemberRecord,
-    MemberState, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
+    AdmissionRequest, ClaimPhase, ConfigMessage, CrashDigest, GossipMessage, GrantMessage,
+    MemberRecord, MemberState, PeerMessage, ReleaseOutcome, ShardMessage, SlotClaim,
 };
 use apricotrun::coordination::store::StoreEra;
 use apricotrun::prelude::*;
@@ -104,6 +104,7 @@
 fn datagram_bytes(updates: usize) -> usize {
     let updates = vec![member_record(); updates];
     let ping = GossipMessage::Ping {
+        crashes: CrashDigest(u64::MAX),
         nonce: u64::MAX,
         era: StoreEra(9),
         revision: Revision(281_050),
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,6 +1,6 @@
 //! Tests that datagrams, frames and return passes that this deployment did not make are dropped.
 
-use apricotrun::coordination::messages::{ConfigMessage, GossipMessage, PeerMessage};
+use apricotrun::coordination::messages::{ConfigMessage, CrashDigest, GossipMessage, PeerMessage};
 use apricotrun::coordination::store::{StoreEra, StoreVersion};
 use apricotrun::prelude::*;
 use apricotrun::protocol::codec::{
@@ -17,7 +17,13 @@
 }
 
 fn ping() -> GossipMessage {
-    GossipMessage::Ping { nonce: 5, era: StoreEra(1), revision: Revision(3), updates: Vec::new() }
+    GossipMessage::Ping {
+        nonce: 5,
+        crashes: CrashDigest(7),
+        era: StoreEra(1),
+        revision: Revision(3),
+        updates: Vec::new(),
+    }
 }
 
 fn frame() -> PeerFrame {
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -1,6 +1,8 @@
 //! Tests of how the parts of prompts that crash upstreams are found.
 
+use apricotrun::coordination::crashes::CrashLedger;
 use apricotrun::coordination::crashing_parts::PartLedger;
+use apricotrun::coordination::messages::CrashReport;
 use apricotrun::prelude::*;
 
 const FIRST: PromptPart = PromptPart(1);
@@ -98,9 +100,13 @@
     let mut harness = LedgerHarness::new();
     harness.crashes(0..3, &[&[BAD]]);
     let before = harness.now - SECOND * 9;
-    assert_eq!(harness.ledger.record_output(before, &[BAD]), [], "it began before the crashes");
+    assert_eq!(
+        harness.ledger.record_output(harness.now, before, &[BAD]),
+        [],
+        "it began before the crashes"
+    );
     assert_eq!(harness.refused(), [BAD]);
-    assert_eq!(harness.ledger.record_output(harness.now, &[BAD, OTHER]), [BAD]);
+    assert_eq!(harness.ledger.record_output(harness.now, harness.now, &[BAD, OTHER]), [BAD]);
     assert_eq!(harness.refused(), []);
     harness.crashes(3..5, &[&[BAD]]);
     assert_eq!(harness.refused(), [], "earlier crashes no longer count");
@@ -121,3 +127,43 @@
     }
     assert_eq!(harness.ledger.check(harness.now, &[FIRST]), None);
 }
+
+/// A daemon that has started later refuses the same, and both agree again after a part is cleared,
+/// in whichever direction they exchange what they know.
+#[test]
+fn histories_bring_daemons_to_the_same_refusals() {
+    let mut harness = LedgerHarness::new();
+    harness.crashes(0..3, &[&[FIRST, BAD]]);
+    harness.now += SECOND * 10;
+    let mut late = PartLedger::default();
+    late.merge(harness.now, &harness.ledger.histories(harness.now));
+    assert_eq!(late.refused(), harness.ledger.refused());
+    harness.now += SECOND;
+    late.merge(harness.now, &harness.ledger.histories(harness.now));
+    assert_eq!(late.check(harness.now, &[BAD]), harness.ledger.check(harness.now, &[BAD]));
+    harness.ledger.record_output(harness.now, harness.now, &[FIRST, BAD]);
+    harness.now += SECOND;
+    harness.ledger.merge(harness.now, &late.histories(harness.now));
+    assert_eq!(harness.refused(), [], "the crashes were before the run that was sound");
+    late.merge(harness.now, &harness.ledger.histories(harness.now));
+    assert!(late.refused().is_empty());
+}
+
+/// Whole requests are refused by a daemon that has started later as parts are.
+#[test]
+fn history_of_a_request_that_crashed_upstreams_reaches_a_late_daemon() {
+    let now = Instant::now() + SECOND * 60;
+    let fingerprint = Fingerprint::of(&[b"request"]);
+    let mut ledger = CrashLedger::default();
+    for attempt in ["a.1.7.1", "a.1.7.2", "b.1.3.1"] {
+        let upstream = "u0".parse().expect("a valid name");
+        let attempt = attempt.parse().expect("a valid id");
+        let parts = Vec::new();
+        ledger.record(now, &CrashReport { attempt, fingerprint, parts, upstream, weight: 1 });
+    }
+    let mut late = CrashLedger::default();
+    assert_ne!(late.digest(), ledger.digest());
+    late.merge(now + SECOND, &ledger.histories(now + SECOND));
+    assert_eq!(late.digest(), ledger.digest());
+    assert_eq!(late.weight(now + SECOND, &fingerprint), 3);
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -3,7 +3,7 @@
 use apricotrun::coordination::membership::{
     MemberAction, MemberEvent, MemberTable, PROBE_PERIOD, SUSPICION_TIMEOUT,
 };
-use apricotrun::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use apricotrun::coordination::messages::{CrashDigest, GossipMessage, MemberRecord, MemberState};
 use apricotrun::coordination::store::StoreEra;
 use apricotrun::prelude::*;
 use rand::SeedableRng;
@@ -163,6 +163,7 @@
     let now = Instant::now();
     let mut table = MemberTable::new(now, record(0, 1, 1), Vec::new(), 1);
     let ping = |era| GossipMessage::Ping {
+        crashes: CrashDigest::default(),
         nonce: 1,
         era: StoreEra(era),
         revision: Revision(0),
