Truncate an unframed response if its upstream has crashed

A response with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that crashes in the same way, so that a stream that ended between two events, or half a body, was passed on as complete.

After such a response the gateway connects to the upstream once more: if nothing listens there, the response counts as broken off. Found while reading the new lines about such responses; no caller has reported it. A stream that ends within an event, and a reset, were recognized before.

response_that_ends_with_its_connection_is_complete_unless_it_was_broken_off: without the change the stream of a worker that crashed after two events was complete; passes now. What remains: an upstream that crashes and listens again before the check.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -15,9 +15,9 @@
 use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -231,6 +231,7 @@
     ) -> Result<FlowEvent, UpstreamFailure> {
         let attempt = &run.target.context.attempt;
         let request_id = attempt.to_string();
+        let framed = is_framed(&exchange);
         let (response, mut body, connection) = self.split_exchange(exchange);
         {
             // A stream that resumes at another upstream keeps the headers of the first. A recorded
@@ -266,7 +267,7 @@
         if !decoder.is_empty() {
             return Err(UpstreamFailure::Broken);
         }
-        self.gateway.connections.release(connection, head.keep_alive);
+        self.end_response(framed, connection, head).await?;
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
     }
 
@@ -293,6 +294,7 @@
         head: &ResponseHead,
         limit: usize,
     ) -> Result<UpstreamResponse, UpstreamFailure> {
+        let framed = is_framed(&exchange);
         let (response, body, connection) = self.split_exchange(exchange);
         let read = self.gateway.response_budget.read(body, limit).await;
         let (body, reservation) = read.map_err(|error| {
@@ -304,9 +306,27 @@
             }
             UpstreamFailure::Broken
         })?;
-        self.gateway.connections.release(connection, head.keep_alive);
+        self.end_response(framed, connection, head).await?;
         Ok(UpstreamResponse { body, reservation, ..response })
     }
+
+    /// Ends the use of a connection after a complete response. The end of the connection alone does
+    /// not show that a response without a length is complete: a crash ends it too.
+    async fn end_response(
+        &self,
+        framed: bool,
+        connection: PooledConnection,
+        head: &ResponseHead,
+    ) -> Result<(), UpstreamFailure> {
+        if framed {
+            self.gateway.connections.release(connection, head.keep_alive);
+            return Ok(());
+        }
+        match diagnose(connection.address()).await {
+            UpstreamFailure::Died => Err(UpstreamFailure::Died),
+            _ => Ok(()),
+        }
+    }
 }
 
 impl UpstreamExecutor for ForwardExecutor {
@@ -349,6 +369,15 @@
     }
 }
 
+/// Returns whether the end of a response is part of it; otherwise it ends with its connection.
+fn is_framed(exchange: &UpstreamExchange) -> bool {
+    let headers = exchange.response.headers();
+    let has_end = |name| headers.contains_key(name);
+    has_end(header::CONTENT_LENGTH)
+        || has_end(header::TRANSFER_ENCODING)
+        || exchange.response.body().is_end_stream()
+}
+
 fn failure_for(kind: ResponseKind) -> UpstreamFailure {
     match kind {
         ResponseKind::Full | ResponseKind::Declined => UpstreamFailure::Full,
