Round the time of a refusal up to a millisecond

A refusal whose retry time was below half a millisecond was sent with 'Retry-After: 0.000', which asks the caller to return at once. Seen in a test of calls that are refused until the next request is due. The new test fails without the change (0.000 for 1 us).

--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -152,7 +152,8 @@
     let mut response = text_response(status_of(refusal), &refusal.reason.to_string());
     if refusal.verdict == Verdict::NotRun {
         let wait = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-        let seconds = format!("{:.3}", wait.as_secs_f64());
+        // Rounded up: a time of zero asks the caller to return at once, before its time has come.
+        let seconds = format!("{:.3}", (wait.as_secs_f64() * 1_000.0).ceil() / 1_000.0);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
