Share the requests that an upstream takes from all daemons together

Cause: nothing read the limit. Evidence: the arrivals are the same before and after it is named, and no source names the header. Ruled out as the remedy: a limit that each daemon keeps by itself, which seven daemons exceed sevenfold.

Change: LimitBoard divides a limit among as many daemons as it allows requests a second, by rendezvous hash; the first to hear of it tells the others.

--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -333,6 +333,15 @@
         /// The requests.
         requests: Vec<RequestHistory>,
     },
+    /// Broadcast that an upstream has said how many requests it takes from all daemons together.
+    UpstreamLimit {
+        /// The incarnation that said so.
+        incarnation: Incarnation,
+        /// The limit; `None` if the upstream names none any more.
+        rate: Option<RequestRate>,
+        /// The upstream.
+        upstream: UpstreamName,
+    },
     /// From a stopping daemon to the successor that takes over its tickets.
     Tickets(crate::coordination::tickets::TicketHandover),
     /// From the successor: it has taken over the tickets.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod orders;
 pub mod ownership;
 pub mod registry;
+pub mod request_limits;
 pub mod retries;
 pub mod roles;
 pub mod shard;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -26,6 +26,11 @@
     format!("watch/{domain}")
 }
 
+/// Returns the key by which the daemons that share the limit of an upstream are ranked.
+pub fn limit_key(upstream: &UpstreamName) -> String {
+    format!("limit/{upstream}")
+}
+
 /// Returns the key by which the daemons that may try a refused part of prompts are ranked.
 pub fn part_key(part: &PromptPart) -> String {
     format!("part/{part}")
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -205,24 +205,40 @@
     }
 
     /// Returns the upstreams of a service that may not be sent requests because of what they said
-    /// in responses.
-    pub fn forbidden_upstreams(&self, now: Instant, service: &ServiceName) -> Vec<UpstreamName> {
-        let forbidden = self
-            .of_service(service)
-            .filter(|(name, record)| self.notices.forbids(now, name, record.incarnation));
+    /// in responses. `limited_until` returns until when an upstream's limit forbids it.
+    pub fn forbidden_upstreams(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        limited_until: impl Fn(&UpstreamName, Incarnation) -> Option<Instant>,
+    ) -> Vec<UpstreamName> {
+        let forbidden = self.of_service(service).filter(|(name, record)| {
+            let incarnation = record.incarnation;
+            self.notices.forbids(now, name, incarnation)
+                || limited_until(name, incarnation).is_some()
+        });
         forbidden.map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns the earliest time at which an upstream that could run requests of the service takes
-    /// them from this daemon again; `None` if one does now, or if none will.
-    pub fn quiet_until(&self, now: Instant, service: &ServiceName) -> Option<Instant> {
+    /// them from this daemon again; `None` if one does now, or if none will. `limited_until` returns
+    /// until when an upstream's limit forbids it.
+    pub fn quiet_until(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        limited_until: impl Fn(&UpstreamName, Incarnation) -> Option<Instant>,
+    ) -> Option<Instant> {
         let runners = self.of_service(service).filter(|(name, record)| {
             let changes = self.is_changing(now, name, record);
             let leaves = record.draining || self.is_leaving(name);
             record.role != UpstreamRole::Prefill && !leaves && !changes
         });
         let quiet = runners
-            .map(|(name, record)| self.notices.quiet_until(now, name, record.incarnation))
+            .map(|(name, record)| {
+                let quiet = self.notices.quiet_until(now, name, record.incarnation);
+                quiet.max(limited_until(name, record.incarnation))
+            })
             .collect::<Option<Vec<_>>>()?;
         quiet.into_iter().min()
     }
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -8,6 +8,6 @@
     AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, PromptPart,
     RequestId, Revision, ServiceName, UpstreamName,
 };
-pub use crate::state::units::{KvBlocks, Slots, TokenRate, Tokens};
+pub use crate::state::units::{KvBlocks, RequestRate, Slots, TokenRate, Tokens};
 pub use crate::state::verdict::{Refusal, RefusalReason, Verdict};
 pub use std::time::{Duration, Instant};
--- a/src/state/units.rs
+++ b/src/state/units.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::num::ParseIntError;
+use std::num::{ParseFloatError, ParseIntError};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -71,9 +71,40 @@
 }
 
 impl FromStr for TokenRate {
-    type Err = std::num::ParseFloatError;
+    type Err = ParseFloatError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         text.trim_end_matches("tokens/s").trim_end().parse().map(Self)
     }
 }
+
+/// A rate of requests, in thousandths of a request per second.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// Returns the rate of this many requests per second.
+    pub fn from_per_second(rate: f64) -> Self {
+        Self((rate * 1_000.0).round() as u32)
+    }
+
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} requests/s", self.per_second())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches("requests/s").trim_end().parse().map(Self::from_per_second)
+    }
+}
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -4,6 +4,7 @@
 use crate::coordination::crashes::CrashLedger;
 use crate::coordination::membership::MemberTable;
 use crate::coordination::messages::{MemberRecord, MemberState};
+use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::store::KeyStore;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
@@ -72,6 +73,7 @@
         gossip: UdpSocket::bind(settings.peer).await?,
         in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
         draining: AtomicBool::new(false),
+        limits: Mutex::new(LimitBoard::default()),
         links: PeerLinks::default(),
         members: Mutex::new(members),
         members_changed: AtomicBool::new(false),
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -97,6 +97,8 @@
     pub keep_alive: Option<Duration>,
     /// How the response relates to the request.
     pub kind: ResponseKind,
+    /// How many requests the upstream takes from all daemons together, if it limits them.
+    pub limit: Option<RequestRate>,
     /// Whether the upstream says that it is about to stop.
     pub leaving: bool,
     /// How long the upstream, which has refused the request, takes none from this daemon.
--- a/src/transport/gateway/notices.rs
+++ b/src/transport/gateway/notices.rs
@@ -12,7 +12,8 @@
 use std::sync::Arc;
 
 impl Gateway {
-    /// Checks that an upstream may be sent a request now, and returns its incarnation.
+    /// Checks that an upstream may be sent a request now, and returns its incarnation. The request
+    /// counts towards the upstream's limit.
     ///
     /// # Errors
     ///
@@ -35,16 +36,20 @@
             self.announce_leaving(name, incarnation);
         }
         match (accepts, forbidden) {
-            (true, _) => Ok(incarnation),
+            (true, _) => match lock(&self.node.limits).take(now, name, incarnation) {
+                true => Ok(incarnation),
+                false => Err(UpstreamFailure::Withheld),
+            },
             (false, true) => Err(UpstreamFailure::Withheld),
             (false, false) => Err(UpstreamFailure::NothingSent),
         }
     }
 
     /// Records what an upstream says about itself in the head of a response. `incarnation` is the
-    /// one that the request was meant for.
+    /// one that the request was meant for, `sent` when it was sent.
     pub fn record_notices(
         self: &Arc<Self>,
+        sent: Instant,
         name: &UpstreamName,
         incarnation: Incarnation,
         head: &ResponseHead,
@@ -53,6 +58,7 @@
         if matches!(head.kind, ResponseKind::Foreign | ResponseKind::Declined) {
             return;
         }
+        self.node.record_limit(sent, name, incarnation, head.limit);
         let noticed = |notice| RegistryEvent::Noticed(name.clone(), incarnation, notice);
         if let Some(time) = head.quiet {
             counter!("apricotrun_quiet_notices_total").increment(1);
@@ -82,11 +88,27 @@
         domains.iter().for_each(|domain| self.node.send_to_replicas(&service, domain, &message));
     }
 
+    /// Returns the upstreams of a service that may not be sent requests now because of what they
+    /// said in responses.
+    pub fn upstreams_to_avoid(&self, now: Instant, service: &ServiceName) -> Vec<UpstreamName> {
+        let limits = lock(&self.node.limits);
+        let registry = lock(&self.registry);
+        registry.forbidden_upstreams(now, service, |name, incarnation| {
+            limits.blocked_until(now, name, incarnation)
+        })
+    }
+
     /// Returns a refusal with the time at which the first upstream of a service takes requests
-    /// again, if all that could run them have asked this daemon to wait.
+    /// again, if all that could run them have asked this daemon to wait or have named a limit.
     pub fn refuse_while_quiet(&self, service: &ServiceName) -> Option<Refusal> {
         let now = self.node.clock.now();
-        let until = lock(&self.registry).quiet_until(now, service)?;
+        let until = {
+            let limits = lock(&self.node.limits);
+            let registry = lock(&self.registry);
+            registry.quiet_until(now, service, |name, incarnation| {
+                limits.blocked_until(now, name, incarnation)
+            })?
+        };
         let refusal = Refusal::not_run(RefusalReason::Overloaded);
         Some(refusal.with_retry_after(until - now))
     }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -138,7 +138,7 @@
         ]);
         let retries = self.gateway.retry_budget(service);
         retries.record_request(self.accepted);
-        let avoid = lock(&self.gateway.registry).forbidden_upstreams(self.accepted, service);
+        let avoid = self.gateway.upstreams_to_avoid(self.accepted, service);
         let crash_weight = lock(&node.crashes).weight(self.accepted, &fingerprint);
         let part_verdict = node.check_parts(self.accepted, parts);
         Some(RequestSpec {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -354,6 +354,7 @@
             log::info!(ready; "daemon: readiness");
         }
         gateway.connections.prune(|name| lock(&gateway.registry).accepts_requests(now, name));
+        gateway.node.divide_limits();
         let hosts = gateway.host_count();
         lock(&gateway.retries).values().for_each(|budget| budget.set_hosts(hosts));
         let pause = if ready { PRUNE_PERIOD } else { PRUNE_PERIOD / 10 };
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -96,6 +96,7 @@
             self.log_members();
         }
         self.update_roles();
+        self.divide_limits();
         self.announce_takeovers();
         self.send_summaries();
         self.notify_owner_change();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -19,6 +19,7 @@
 pub mod logs;
 pub mod node;
 pub mod orders;
+pub mod request_limits;
 pub mod requests;
 pub mod runs;
 pub mod settings;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
-//! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `flows`,
-//! `blocked_peers`, `peer_keys`.
+//! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `limits`,
+//! `flows`, `blocked_peers`, `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
 
@@ -13,6 +13,7 @@
     MemberRecord, MemberState, PeerMessage, ReleaseOutcome, ShardMessage,
 };
 use crate::coordination::ownership::{rank_daemons, shard_key};
+use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::store::KeyStore;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
@@ -51,6 +52,8 @@
     pub config: Mutex<ConfigReplica>,
     /// The requests, and parts of prompts, that crashed upstreams.
     pub crashes: Mutex<CrashLedger>,
+    /// The requests that upstreams take from all daemons together.
+    pub limits: Mutex<LimitBoard>,
     /// Limits the rate of log lines about requests and members.
     pub log_limiter: LogLimiter,
     /// The event queues of this entry's running requests, by sequence number.
@@ -226,6 +229,9 @@
             }
             PeerMessage::Config(message) => self.handle_config_message(from, message),
             PeerMessage::Crash(report) => self.record_crash(&report),
+            PeerMessage::UpstreamLimit { incarnation, rate, upstream } => {
+                self.learn_limit(&upstream, incarnation, rate);
+            }
             PeerMessage::SoundParts(parts) => self.mark_sound(&parts),
             PeerMessage::CrashHistory { parts, requests } => {
                 self.merge_crash_history(&parts, &requests);
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -243,10 +243,10 @@
     registry.handle(now, quiet("a", 100));
     assert!(!registry.accepts_requests(now + MILLI * 899, &name("a")));
     assert!(registry.accepts_requests(now + MILLI * 900, &name("a")));
-    assert_eq!(registry.quiet_until(now, &service), None, "b takes requests");
+    assert_eq!(registry.quiet_until(now, &service, |_, _| None), None, "b takes requests");
     registry.handle(now, quiet("b", 400));
-    assert_eq!(registry.quiet_until(now, &service), Some(now + MILLI * 400));
-    assert_eq!(registry.forbidden_upstreams(now + MILLI * 500, &service), [name("a")]);
+    assert_eq!(registry.quiet_until(now, &service, |_, _| None), Some(now + MILLI * 400));
+    assert_eq!(registry.forbidden_upstreams(now + MILLI * 500, &service, |_, _| None), [name("a")]);
 }
 
 /// Random writes, removals and returns from copies some seconds old: an upstream that left in its
