Look up refused parts only if the ledger still knows them

A history that clears a refused part, merged together with one that fills the ledger, made a daemon panic while it held the lock of the crash ledger. Found by reading; the new test panics without the change. A run that is sound costs nothing now while no part is suspected.

--- a/src/coordination/crashing_parts.rs
+++ b/src/coordination/crashing_parts.rs
@@ -167,6 +167,11 @@
         self.update_refused();
     }
 
+    /// Returns whether no part is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns the parts whose requests are refused.
     pub fn refused(&self) -> &BTreeSet<PromptPart> {
         &self.refused
@@ -273,11 +278,11 @@
     /// Drops the oldest crashes, first those that no refused part has.
     fn limit_size(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
-            let is_needed = |number: &u64| {
-                self.refused.iter().any(|part| self.parts[part].crashes.contains(number))
-            };
+            let refused = self.refused.iter().filter_map(|part| self.parts.get(part));
+            let needed: BTreeSet<_> = refused.flat_map(|entry| &entry.crashes).copied().collect();
             let mut numbers = self.crashes.keys();
-            let oldest = numbers.find(|number| !is_needed(number)).or(self.crashes.keys().next());
+            let oldest =
+                numbers.find(|number| !needed.contains(number)).or(self.crashes.keys().next());
             let Some(oldest) = oldest.copied() else { return };
             self.drop_crash(oldest);
         }
--- a/src/transport/crashes.rs
+++ b/src/transport/crashes.rs
@@ -27,6 +27,9 @@
 
     /// Records that a run with these parts, which began to write at `began`, goes on.
     pub fn record_output(self: &Arc<Self>, began: Instant, parts: &[PromptPart]) {
+        if lock(&self.crashes).parts.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         let mut shared = Vec::new();
         self.change_refused_parts(|node| {
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -2,7 +2,7 @@
 
 use apricotrun::coordination::crashes::CrashLedger;
 use apricotrun::coordination::crashing_parts::PartLedger;
-use apricotrun::coordination::messages::CrashReport;
+use apricotrun::coordination::messages::{CrashReport, PartHistory};
 use apricotrun::prelude::*;
 
 const FIRST: PromptPart = PromptPart(1);
@@ -167,3 +167,25 @@
     assert_eq!(late.digest(), ledger.digest());
     assert_eq!(late.weight(now + SECOND, &fingerprint), 3);
 }
+
+/// Guards against a history that clears a refused part while another fills the ledger: the part was
+/// looked up although nothing was known of it any more.
+#[test]
+fn full_ledger_keeps_the_crashes_of_refused_parts_until_they_are_cleared() {
+    let mut harness = LedgerHarness::new();
+    harness.crashes(0..3, &[&[BAD]]);
+    for number in 3..400 {
+        let other = PromptPart(u64::from(number) + 100);
+        harness.crashes(number..number + 1, &[&[other]]);
+    }
+    assert_eq!(harness.refused(), [BAD], "older than the others, but still needed");
+    let crashes = (0..300).map(|number| {
+        let upstream = format!("w{number}").parse().expect("a valid name");
+        (upstream, Duration::from_millis(number * 2))
+    });
+    let crashes = crashes.collect();
+    let cleared = PartHistory { part: BAD, crashes: Vec::new(), depth: 0, sound: Some(SECOND) };
+    let filling = PartHistory { part: OTHER, crashes, depth: 0, sound: None };
+    harness.ledger.merge(harness.now, &[cleared, filling]);
+    assert_eq!(harness.refused(), [OTHER]);
+}
