--- a/src/transport/gateway/notices.rs
+++ b/src/transport/gateway/notices.rs
@@ -18,7 +18,7 @@
     /// # Errors
     ///
     /// Returns [`UpstreamFailure::Withheld`] if the upstream has said in a response that it takes
-    /// none, and [`UpstreamFailure::NothingSent`] if its record forbids it.
+    /// none, or no more than it gets, and [`UpstreamFailure::NothingSent`] if its record forbids it.
     pub fn check_upstream(
         self: &Arc<Self>,
         now: Instant,
