Read the software version of upstreams, and log which one writes a stream

Records and templates carry the version now, grants name that of the runner, and the log says at which version a stream begins and goes on, and which earlier request a new one takes up. No decision uses it yet.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -93,6 +93,7 @@
             attempt: grant.claim.attempt.clone(),
             from: self.next_token,
             handle,
+            software: grant.runner_software.clone(),
         }
     }
 
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -202,6 +202,8 @@
         handle: Option<KvHandle>,
         /// The index of the first token to produce.
         from: u32,
+        /// The software version of the decode worker or plain upstream.
+        software: SoftwareVersion,
     },
     /// Begin the response to the caller, so that a disconnect is noticed from now on. Returned when
     /// the request is first queued or granted.
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -92,6 +92,8 @@
     pub prefill_address: Option<SocketAddr>,
     /// The address of the decode worker or plain upstream.
     pub runner_address: SocketAddr,
+    /// The software version of the decode worker or plain upstream.
+    pub runner_software: SoftwareVersion,
 }
 
 /// How an attempt ended at its upstreams.
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -41,6 +41,8 @@
     pub service: ServiceName,
     /// The number of requests that the upstream runs concurrently.
     pub slots: Slots,
+    /// The version of the upstream's software.
+    pub software: SoftwareVersion,
 }
 
 /// An input of [`UpstreamRegistry::handle`].
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -353,10 +353,12 @@
     pub fn existing_grant(&self, attempt: &AttemptId) -> Option<GrantMessage> {
         let held = self.claims.get(attempt)?;
         let address = |name: &UpstreamName| self.workers.get(name).map(|w| w.spec.address);
+        let runner = &self.workers.get(&held.claim.runner)?.spec;
         Some(GrantMessage {
             claim: held.claim.clone(),
             prefill_address: held.claim.prefill.as_ref().and_then(address),
-            runner_address: address(&held.claim.runner)?,
+            runner_address: runner.address,
+            runner_software: runner.software.clone(),
         })
     }
 
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -56,6 +56,7 @@
             claim,
             prefill_address: prefill.map(|worker| worker.spec.address),
             runner_address: runner.spec.address,
+            runner_software: runner.spec.software.clone(),
         })
     }
 
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -6,7 +6,7 @@
 };
 pub use crate::state::ids::{
     AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, PromptPart,
-    RequestId, Revision, ServiceName, UpstreamName,
+    RequestId, Revision, ServiceName, SoftwareVersion, UpstreamName,
 };
 pub use crate::state::units::{KvBlocks, RequestRate, Slots, TokenRate, Tokens};
 pub use crate::state::verdict::{Refusal, RefusalReason, Verdict};
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -2,7 +2,8 @@
 //! docs/CONFIGURATION.md.
 
 use crate::state::ids::{
-    AccountName, DomainName, IdError, Incarnation, Revision, ServiceName, UpstreamName,
+    AccountName, DomainName, IdError, Incarnation, Revision, ServiceName, SoftwareVersion,
+    UpstreamName,
 };
 use crate::state::units::{KvBlocks, Slots, TokenRate, Tokens};
 use serde::{Deserialize, Serialize};
@@ -70,6 +71,9 @@
     pub role: UpstreamRole,
     /// The number of requests that it runs concurrently.
     pub slots: Slots,
+    /// The version of its software.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// A LoRA adapter that the engines of a service must have loaded.
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -98,6 +98,54 @@
     UpstreamName, "upstream"
 );
 
+/// The version of the software that an upstream runs. Upstreams of several versions may serve one
+/// service side by side, but what two versions write does not fit together.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Returns the version as text; it is empty if the upstream names none.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() <= MAX_NAME_BYTES && text.chars().all(|c| c.is_ascii_graphic()) {
+            return Ok(Self(text.to_owned()));
+        }
+        Err(IdError {
+            kind: "software version",
+            value: text.to_owned(),
+            allowed: "at most 64 visible ASCII characters are allowed",
+        })
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> String {
+        version.0
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
 /// Distinguishes the successive processes of one host's daemon or of one upstream: a number that
 /// grows with each start.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -48,6 +48,9 @@
     pub prompt: Option<PromptShape>,
     /// The id of the last event that the caller received on an earlier request, or 0.
     pub resume_after: u32,
+    /// The id of the earlier request that began the stream and brought its first event, if this
+    /// one takes a stream up and the caller names it.
+    pub resumes: Option<String>,
     /// How long the caller waits from now on, if it says so.
     pub timeout: Option<Duration>,
 }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -109,7 +109,8 @@
                 request = self.inbound.head.request_id.as_str(), id:% = spec.id,
                 route = self.rule.name.as_str(), service:% = service,
                 revision = self.routes.revision.0, prompt = spec.prompt.0,
-                answer = spec.expected_output.0,
+                answer = spec.expected_output.0, after = spec.first_index,
+                resumes = self.inbound.head.resumes.as_deref().unwrap_or_default(),
                 left_ms = (self.deadline - self.accepted).as_millis() as u64;
                 "entry: accepted"
             );
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -75,6 +75,7 @@
         kv_blocks: engine.map(|engine| KvBlocks(engine.cache_capacity.0 / BLOCK_TOKENS.0)),
         role: record.role,
         slots: record.slots,
+        software: record.software.clone(),
     });
     let rate = |pick: fn(&EngineSpec) -> TokenRate| engine.map(pick).unwrap_or_default();
     ServiceTemplate {
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -103,6 +103,7 @@
         prefilled: false,
         prompt,
         service,
+        software: SoftwareVersion::default(),
         task: None,
         trace,
         executor,
@@ -133,6 +134,8 @@
     prefilled: bool,
     prompt: Tokens,
     service: ServiceName,
+    /// The software version of the upstream that runs the latest attempt.
+    software: SoftwareVersion,
     task: Option<AbortHandle>,
     trace: Box<dyn RequestTrace>,
     executor: Arc<dyn UpstreamExecutor>,
@@ -195,7 +198,11 @@
                 self.abort(domain, attempt, upstreams, outcome);
             }
             FlowAction::StartPrefill(attempt, address) => self.start_prefill(attempt, address),
-            FlowAction::StartRun { attempt, address, handle, from } => {
+            FlowAction::StartRun { attempt, address, handle, from, software } => {
+                self.software = software;
+                if from > 0 {
+                    self.log_continuation(from);
+                }
                 self.start_run(attempt, address, handle, from);
             }
             FlowAction::OpenResponse => self.send_part(ResponsePart::Opened).await,
@@ -249,12 +256,23 @@
     fn log_first_token(&self) {
         if self.node.log_limiter.permits(DecisionKind::FirstToken) {
             log::info!(
-                request = self.request_id.as_str(), age_ms = self.age_ms();
+                request = self.request_id.as_str(), software:% = self.software,
+                age_ms = self.age_ms();
                 "entry: first token"
             );
         }
     }
 
+    fn log_continuation(&self, from: u32) {
+        if self.node.log_limiter.permits(DecisionKind::Granted) {
+            log::info!(
+                request = self.request_id.as_str(), after = from, software:% = self.software,
+                runner = self.claim.as_ref().map_or("", |claim| claim.runner.as_str());
+                "entry: a stream goes on"
+            );
+        }
+    }
+
     fn log_failure(&self, failure: UpstreamFailure, running: bool) {
         if self.node.log_limiter.permits(DecisionKind::Lost) {
             let claim = self.claim.as_ref();
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -141,6 +141,7 @@
         claim: claim(1_000_000),
         prefill_address: Some("10.1.2.3:8000".parse().expect("a valid address")),
         runner_address: "10.1.2.4:8000".parse().expect("a valid address"),
+        runner_software: SoftwareVersion::default(),
     };
     let list =
         |count: u64| ShardMessage::ClaimList((0..count).map(|i| claim(i + 1_000_000)).collect());
--- a/standins/src/fixtures.rs
+++ b/standins/src/fixtures.rs
@@ -17,6 +17,7 @@
         kv_blocks: None,
         role,
         slots: Slots(slots),
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -123,6 +123,7 @@
             suspect: false,
         },
         runner_address: address,
+        runner_software: SoftwareVersion::default(),
     }
 }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -34,6 +34,7 @@
         kv_blocks: None,
         role: UpstreamRole::Decode,
         slots: Slots(1),
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -25,6 +25,7 @@
         role: UpstreamRole::Plain,
         service: "rental".parse().expect("valid name"),
         slots: Slots(6),
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -52,6 +52,7 @@
         role,
         service: "llm".parse().expect("valid name"),
         slots: Slots(32),
+        software: SoftwareVersion::default(),
     }
 }
 
