Let a stream go on only at the software version that began it

Cause: placement knew no versions, and a daemon at which a caller takes a stream up knew nothing of where it began.

Change: owners place a stream that has begun only at its version. Entry daemons send the origin of each stream to at most four daemons chosen by rendezvous hash, whatever the size of the deployment, and a daemon at which a stream is taken up asks six. Where nobody knows the origin, the stream goes on only if one version has served for as long as a stream can be old; otherwise the request is refused with the truth. A request for a full version holds up no other.

Ruled out: writing origins to the store (a call for each stream), telling all daemons (grows with the fleet).

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -48,6 +48,11 @@
             self.release_grant(domain, grant, out);
             return self.request_admission(now, out);
         }
+        if self.software.as_ref().is_some_and(|software| *software != grant.runner_software) {
+            // The owner has learned meanwhile that the upstream runs another version.
+            self.release_grant(domain, grant, out);
+            return self.request_admission(now, out);
+        }
         if self.spec.domains.get(self.domain_index) != Some(&domain) {
             // A probed failure domain granted before the one whose queue the request is in.
             self.withdraw(out);
@@ -171,6 +176,7 @@
         active.stall_deadline = due;
         active.cached_prefill = None;
         let began = *active.first_token.get_or_insert(now);
+        self.software.get_or_insert_with(|| active.grant.runner_software.clone());
         if active.grant.claim.phase != ClaimPhase::Run {
             active.grant.claim.phase = ClaimPhase::Run;
             let domain = active.domain.clone();
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -53,6 +53,9 @@
     pub part_verdict: PartVerdict,
     /// The parts of the prompt that other requests may share, from its start.
     pub parts: Vec<PromptPart>,
+    /// How long daemons keep which software version began the stream, so that callers can take it
+    /// up at another daemon; `None` if they cannot.
+    pub origin_lifetime: Option<Duration>,
     /// The length of the prompt.
     pub prompt: Tokens,
     /// The longest output that the request allows.
@@ -70,6 +73,9 @@
     pub returning: bool,
     /// The maximum number of attempts that may have executed the request.
     pub max_runs: u32,
+    /// The software version that began the stream, if the caller has its first events from an
+    /// earlier request; no other version may go on.
+    pub software: Option<SoftwareVersion>,
     /// The time without a token after which a run counts as stalled; if `None`, a multiple of
     /// `inter_token_target`.
     pub stall_limit: Option<Duration>,
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -103,6 +103,8 @@
     response_opened: bool,
     /// The number of attempts that may have executed the request.
     runs: u32,
+    /// The software version that wrote the first event that the caller has.
+    software: Option<SoftwareVersion>,
     spec: RequestSpec,
     stage: FlowStage,
     started: Instant,
@@ -129,6 +131,7 @@
             next_token: spec.first_index,
             response_opened: false,
             runs: 0,
+            software: spec.software.clone(),
             spec,
             stage: FlowStage::Admission {
                 since: now,
@@ -303,9 +306,10 @@
         fail_fast: bool,
         out: &mut Vec<FlowAction>,
     ) {
-        // Once an attempt was made, the request is completed even if its first token is late.
-        let first_token_due = match self.attempts_started {
-            0 => self.spec.first_token_due,
+        // Once an attempt was made, or the caller has a part of the stream, the request is completed
+        // even if its first token is late.
+        let first_token_due = match (self.attempts_started, self.spec.first_index) {
+            (0, 0) => self.spec.first_token_due,
             _ => self.spec.deadline,
         };
         let produced = self.next_token.saturating_mul(self.spec.tokens_per_index);
@@ -321,8 +325,9 @@
             prefilled: self.usable_prefill(now).is_some(),
             prefix: self.spec.prefix.clone(),
             prompt: Tokens(self.spec.prompt.0.saturating_add(produced)),
-            resuming: self.attempts_started > 0,
+            resuming: self.attempts_started > 0 || self.spec.first_index > 0,
             returning: self.spec.returning,
+            software: self.software.clone(),
             suspect: self.suspect,
             waited: now.saturating_duration_since(self.started),
         };
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -67,10 +67,13 @@
     pub expected_output: Tokens,
     /// Whether the caller retries at the time that was reserved for it in an earlier refusal.
     pub returning: bool,
-    /// Whether an earlier attempt of the request was granted upstreams.
+    /// Whether an earlier attempt of the request was granted upstreams, or the caller has a part of
+    /// the response from an earlier request.
     pub resuming: bool,
     /// Whether the request is suspected of crashing its upstreams.
     pub suspect: bool,
+    /// The only software version that may run the request, as it began the stream.
+    pub software: Option<SoftwareVersion>,
     /// The time since the entry daemon accepted the request, across all owners.
     pub waited: Duration,
 }
@@ -255,6 +258,29 @@
     },
 }
 
+/// Where a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// The failure domain of the entry daemon.
+    pub domain: DomainName,
+    /// The entry daemon.
+    pub entry: DaemonId,
+    /// The service whose upstream began it.
+    pub service: ServiceName,
+    /// The software version of that upstream.
+    pub software: SoftwareVersion,
+}
+
+/// What a daemon knows of the origin of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginReply {
+    /// The origin, if the daemon keeps it.
+    pub known: Option<StreamOrigin>,
+    /// The only software version at which any stream of the service can have begun, if the daemon
+    /// has seen no other.
+    pub sole_version: Option<SoftwareVersion>,
+}
+
 /// Reports that an upstream died while it ran a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
@@ -344,6 +370,33 @@
         /// The upstream.
         upstream: UpstreamName,
     },
+    /// The origin of a stream, from its entry daemon or a daemon that keeps it, to one that should.
+    StreamOrigin {
+        /// How long it is kept.
+        lifetime: Duration,
+        /// The origin itself.
+        origin: StreamOrigin,
+        /// The caller's id of the request that began the stream.
+        request: String,
+    },
+    /// Asks for the origin of a stream that a caller takes up at the sender.
+    FindOrigin {
+        /// A number that the [`PeerMessage::FoundOrigin`] repeats.
+        lookup: u64,
+        /// The caller's id of the request that began the stream.
+        request: String,
+        /// The service of the route of the new request.
+        service: ServiceName,
+        /// The longest time ago at which the stream can have begun.
+        window: Duration,
+    },
+    /// Answers [`PeerMessage::FindOrigin`].
+    FoundOrigin {
+        /// The number of the question.
+        lookup: u64,
+        /// What the sender knows.
+        reply: OriginReply,
+    },
     /// From a stopping daemon to the successor that takes over its tickets.
     Tickets(crate::coordination::tickets::TicketHandover),
     /// From the successor: it has taken over the tickets.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,4 +18,5 @@
 pub mod roles;
 pub mod shard;
 pub mod store;
+pub mod stream_origins;
 pub mod tickets;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -31,6 +31,12 @@
     format!("limit/{upstream}")
 }
 
+/// Returns the key by which the daemons that keep the origin of a stream are ranked. `request` is
+/// the caller's id of the request that began it.
+pub fn origin_key(request: &str) -> String {
+    format!("origin/{request}")
+}
+
 /// Returns the key by which the daemons that may try a refused part of prompts are ranked.
 pub fn part_key(part: &PromptPart) -> String {
     format!("part/{part}")
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -280,7 +280,15 @@
         now: Instant,
         template: &ServiceTemplate,
     ) -> Option<(DaemonId, GrantMessage)> {
-        let is_blocked = |request: &AdmissionRequest| self.pool.is_blocked(now, request);
+        // A request that only some upstreams may run must not hold up those that others could.
+        let is_pinned_and_full = |request: &AdmissionRequest| {
+            let need = || self.memory_need(template, request);
+            let place = || self.pool.place(now, request, need(), template, &self.prefixes);
+            request.software.is_some() && place().is_none()
+        };
+        let is_blocked = |request: &AdmissionRequest| {
+            self.pool.is_blocked(now, request) || is_pinned_and_full(request)
+        };
         for waiting in self.queue.heads(MAX_SCANNED_ACCOUNTS, MAX_SCANNED_PER_ACCOUNT, is_blocked) {
             let quota = self.quotas.get(&waiting.request.account).copied();
             if quota.is_some_and(|quota| self.is_over_ceiling(now, &waiting, &quota)) {
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -83,7 +83,9 @@
 
     /// Returns whether the request may run here once there is capacity.
     fn accepts(&self, request: &AdmissionRequest) -> bool {
-        !self.is_stopping() && !request.avoid.contains(&self.spec.name)
+        !self.is_stopping()
+            && !request.avoid.contains(&self.spec.name)
+            && request.software.as_ref().is_none_or(|software| *software == self.spec.software)
     }
 
     /// Returns whether a worker that is backed off may get a probe if no other is usable: it must
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -70,7 +70,7 @@
             worker.is_usable(now)
                 && worker.slots < worker.spec.slots.0
                 && self.has_memory(now, worker, need, request.is_late())
-                && !request.avoid.contains(&worker.spec.name)
+                && worker.accepts(request)
                 && !(request.suspect && worker.suspects > 0)
         });
         let chosen = self.least_loaded(now, candidates, request);
--- /dev/null
+++ b/src/coordination/stream_origins.rs
@@ -0,0 +1,244 @@
+//! Remembers which software version began each stream, so that it goes on at that version only,
+//! whichever daemon its caller takes it up at.
+//!
+//! A stream may outlive its entry daemon, and its caller names no version. A few daemons therefore
+//! keep the origin of each stream; their number does not depend on the size of the deployment. See
+//! docs/DESIGN.md, "Software versions".
+
+use crate::coordination::messages::StreamOrigin;
+use crate::coordination::ownership::{origin_key, rank_daemons};
+use crate::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many daemons keep an origin in the failure domain of the entry daemon, and how many among
+/// all daemons.
+const HOLDERS: usize = 2;
+/// How many of each are asked for an origin. One more than keep it, as those that ask do not know
+/// which daemon was the entry, which is not among the holders.
+const ASKED: usize = HOLDERS + 1;
+/// The maximum number of origins that a daemon keeps.
+const MAX_ORIGINS: usize = 50_000;
+
+/// The failure domains of the daemons that do not leave.
+pub type DaemonDomains = BTreeMap<DaemonId, DomainName>;
+
+/// An origin to send to a daemon that should keep it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OriginCopy {
+    /// How long it is kept from now on.
+    pub lifetime: Duration,
+    /// The origin itself.
+    pub origin: StreamOrigin,
+    /// The caller's id of the request that began the stream.
+    pub request: String,
+    /// The daemon that should keep it.
+    pub to: DaemonId,
+}
+
+#[derive(Debug)]
+struct OriginEntry {
+    expires_at: Instant,
+    /// The daemons that should keep it, by the members that this daemon knew last.
+    holders: BTreeSet<DaemonId>,
+    origin: StreamOrigin,
+}
+
+/// The origins of streams that this daemon keeps, by the caller's id of the request.
+#[derive(Debug, Default)]
+pub struct OriginBoard {
+    daemons: DaemonDomains,
+    entries: BTreeMap<String, OriginEntry>,
+    expiry: BTreeSet<(Instant, String)>,
+}
+
+impl OriginBoard {
+    /// Records the origin of a stream that begins at this daemon, and returns the copies to send.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        request: &str,
+        origin: StreamOrigin,
+        lifetime: Duration,
+    ) -> Vec<OriginCopy> {
+        let known = self.entries.get(request);
+        if known.is_some_and(|known| known.origin == origin) {
+            return Vec::new();
+        }
+        self.learn(now, request, origin.clone(), lifetime);
+        let holders = self.entries.get(request).map(|entry| entry.holders.clone());
+        let copies = holders.unwrap_or_default().into_iter().map(|to| OriginCopy {
+            lifetime,
+            origin: origin.clone(),
+            request: request.to_owned(),
+            to,
+        });
+        copies.collect()
+    }
+
+    /// Records an origin that another daemon has sent.
+    pub fn learn(&mut self, now: Instant, request: &str, origin: StreamOrigin, lifetime: Duration) {
+        self.expire(now);
+        let holders = holders_of(request, &origin, &self.daemons);
+        let expires_at = now + lifetime;
+        let entry = OriginEntry { expires_at, holders, origin };
+        if let Some(old) = self.entries.insert(request.to_owned(), entry) {
+            self.expiry.remove(&(old.expires_at, request.to_owned()));
+        }
+        self.expiry.insert((expires_at, request.to_owned()));
+        while self.entries.len() > MAX_ORIGINS {
+            self.drop_first();
+        }
+    }
+
+    /// Returns the origin of the stream that a request began.
+    pub fn find(&self, now: Instant, request: &str) -> Option<&StreamOrigin> {
+        let entry = self.entries.get(request).filter(|entry| now < entry.expires_at)?;
+        Some(&entry.origin)
+    }
+
+    /// Returns the daemons to ask for an origin that this daemon, in the failure domain `domain`,
+    /// does not keep.
+    pub fn daemons_to_ask(&self, request: &str, domain: &DomainName) -> BTreeSet<DaemonId> {
+        choose_daemons(request, domain, self.daemons.iter(), ASKED)
+    }
+
+    /// Applies a change of the membership, and returns the copies for daemons that should keep an
+    /// origin from now on.
+    pub fn change_daemons(&mut self, now: Instant, daemons: DaemonDomains) -> Vec<OriginCopy> {
+        self.expire(now);
+        let joined: BTreeSet<_> =
+            daemons.keys().filter(|daemon| !self.daemons.contains_key(daemon)).cloned().collect();
+        self.daemons = daemons;
+        let mut copies = Vec::new();
+        for (request, entry) in &mut self.entries {
+            let complete = entry.holders.iter().all(|holder| self.daemons.contains_key(holder));
+            let holders = match (complete, joined.is_empty()) {
+                (true, true) => continue,
+                // The other daemons rank after the holders, as they did before.
+                (true, false) => {
+                    let candidates = self.daemons.iter().filter(|(daemon, _)| {
+                        entry.holders.contains(daemon) || joined.contains(daemon)
+                    });
+                    let candidates = candidates.map(|(id, domain)| (id.clone(), domain.clone()));
+                    holders_of(request, &entry.origin, &candidates.collect())
+                }
+                (false, _) => holders_of(request, &entry.origin, &self.daemons),
+            };
+            let added = holders.difference(&entry.holders).cloned();
+            copies.extend(added.map(|to| OriginCopy {
+                lifetime: entry.expires_at.saturating_duration_since(now),
+                origin: entry.origin.clone(),
+                request: request.clone(),
+                to,
+            }));
+            entry.holders = holders;
+        }
+        copies
+    }
+
+    /// Returns the number of origins that are kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no origin is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while self.expiry.first().is_some_and(|(at, _)| *at <= now) {
+            self.drop_first();
+        }
+    }
+
+    fn drop_first(&mut self) {
+        if let Some((_, request)) = self.expiry.pop_first() {
+            self.entries.remove(&request);
+        }
+    }
+}
+
+/// Returns the daemons that should keep an origin besides the entry daemon.
+fn holders_of(request: &str, origin: &StreamOrigin, daemons: &DaemonDomains) -> BTreeSet<DaemonId> {
+    let others = daemons.iter().filter(|(daemon, _)| **daemon != origin.entry);
+    choose_daemons(request, &origin.domain, others, HOLDERS)
+}
+
+/// Returns the first `count` daemons of a failure domain and the first `count` of all, ranked for
+/// a request.
+fn choose_daemons<'a>(
+    request: &str,
+    domain: &DomainName,
+    daemons: impl Iterator<Item = (&'a DaemonId, &'a DomainName)>,
+    count: usize,
+) -> BTreeSet<DaemonId> {
+    let domains: BTreeMap<_, _> = daemons.collect();
+    let ranked = rank_daemons(&origin_key(request), domains.keys().copied());
+    let local = ranked.iter().filter(|daemon| domains[*daemon] == domain).take(count);
+    local.chain(ranked.iter().take(count)).map(|daemon| (*daemon).clone()).collect()
+}
+
+/// The software versions of each service that this daemon has seen.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// Since when every version is known; `None` while the records of upstreams cannot be read.
+    complete_since: Option<Instant>,
+    /// Whether no stream can be older than this daemon, as the whole deployment has just started.
+    first_start: bool,
+    /// The versions, each with the time at which its last upstream had gone.
+    versions: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Instant>>>,
+}
+
+impl VersionHistory {
+    /// Records that the whole deployment starts for the first time.
+    pub fn mark_first_start(&mut self) {
+        self.first_start = true;
+    }
+
+    /// Records the versions of a service's upstreams.
+    pub fn observe<'a>(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        present: impl Iterator<Item = &'a SoftwareVersion>,
+    ) {
+        let present: BTreeSet<_> = present.collect();
+        let versions = self.versions.entry(service.clone()).or_default();
+        for (version, gone_at) in versions.iter_mut() {
+            let gone = !present.contains(version);
+            *gone_at = if gone { gone_at.or(Some(now)) } else { None };
+        }
+        for version in present {
+            versions.entry(version.clone()).or_default();
+        }
+    }
+
+    /// Records whether the records of upstreams can be read. Versions may come and go unseen while
+    /// they cannot.
+    pub fn set_readable(&mut self, now: Instant, readable: bool) {
+        match readable {
+            true => drop(self.complete_since.get_or_insert(now)),
+            false => (self.complete_since, self.first_start) = (None, false),
+        }
+    }
+
+    /// Returns the only software version that any stream of the service can have begun at within
+    /// the last `window`; `None` if there were several, or if this daemon cannot know.
+    pub fn sole_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        window: Duration,
+    ) -> Option<SoftwareVersion> {
+        let since = self.complete_since?;
+        if !self.first_start && now < since + window {
+            return None;
+        }
+        let versions = self.versions.get(service)?.iter();
+        let mut recent =
+            versions.filter(|(_, gone_at)| gone_at.is_none_or(|gone_at| now < gone_at + window));
+        let (sole, _) = recent.next()?;
+        recent.next().is_none().then(|| sole.clone())
+    }
+}
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -29,6 +29,11 @@
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
     }
+
+    /// Returns whether callers may take up interrupted responses.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
 }
 
 /// A service to which a route sends a part of its requests.
@@ -62,6 +67,11 @@
 }
 
 impl RouteRule {
+    /// Returns whether the route sends requests to a service.
+    pub fn has_target(&self, service: &ServiceName) -> bool {
+        self.targets.iter().any(|target| target.weight > 0 && target.service == *service)
+    }
+
     /// Selects the service for a request by weight, given a uniformly distributed number from 0 up
     /// to 1.
     pub fn select_service(&self, sample: f64) -> Option<&ServiceName> {
--- a/src/state/verdict.rs
+++ b/src/state/verdict.rs
@@ -98,6 +98,8 @@
     Stopping,
     /// This daemon has no configuration yet.
     NoConfiguration,
+    /// It is not known which software version began the stream that the request takes up.
+    OriginUnknown,
 }
 
 impl RefusalReason {
@@ -118,7 +120,8 @@
             | Self::RetriesSpent
             | Self::StoreDown
             | Self::Stopping
-            | Self::NoConfiguration => 503,
+            | Self::NoConfiguration
+            | Self::OriginUnknown => 503,
             Self::DeadlinePassed => 504,
         }
     }
@@ -154,6 +157,7 @@
             Self::StoreDown => "the platform store cannot be reached",
             Self::Stopping => "this daemon is stopping",
             Self::NoConfiguration => "this daemon has no configuration yet",
+            Self::OriginUnknown => "it is not known which software version began the stream",
         };
         f.write_str(text)
     }
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -6,6 +6,7 @@
 use crate::coordination::messages::{MemberRecord, MemberState};
 use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::store::KeyStore;
+use crate::coordination::stream_origins::{OriginBoard, VersionHistory};
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
@@ -16,6 +17,7 @@
 use crate::transport::node::DaemonNode;
 use crate::transport::runs::AttemptCancel;
 use crate::transport::settings::DaemonSettings;
+use crate::transport::stream_origins::LookupTable;
 use crate::transport::tables::{ClaimTable, OrderTable, ShardTable};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -78,6 +80,9 @@
         members: Mutex::new(members),
         members_changed: AtomicBool::new(false),
         newer_era: Notify::new(),
+        origins: Mutex::new(OriginBoard::default()),
+        origin_lookups: Mutex::new(LookupTable::default()),
+        versions: Mutex::new(VersionHistory::default()),
         peer_keys: Mutex::new(PeerKeyring::new(settings.peer_key.clone())),
         sequence: AtomicU64::new(0),
         shard_wake: Notify::new(),
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -193,6 +193,7 @@
                 backoff.reset();
                 gateway.apply_changes(changes);
                 let now = gateway.node.clock.now();
+                lock(&gateway.node.versions).set_readable(now, true);
                 let period = gateway.propagation_limit.mul_f64(WATCH_PERIOD_FRACTION);
                 let period = match returned_at {
                     Some(at) if now < at + RETURN_WATCH_TIME => period.min(RETURN_WATCH_PERIOD),
@@ -212,6 +213,7 @@
                     );
                 }
                 gateway.apply_registry_events([RegistryEvent::StoreLost]);
+                lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), false);
                 tokio::select! {
                     () = backoff.wait() => {}
                     () = gateway.node.newer_era.notified() => gateway.hold_plans(),
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -15,6 +15,7 @@
 use crate::transport::requests::{ResponsePart, start_request};
 use crate::transport::spans::NoTrace;
 use http::Response;
+use metrics::counter;
 use std::sync::Arc;
 use tokio::sync::mpsc::Receiver;
 
@@ -24,6 +25,9 @@
 /// How long a stream may be silent before it resumes at another upstream, if its route allows that;
 /// callers disconnect soon after.
 const STREAM_STALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// The shortest time for which it is kept which software version began a stream. The operator may
+/// shorten a route's timeout while streams run.
+const MIN_ORIGIN_LIFETIME: Duration = Duration::from_secs(30);
 /// After how many latency targets a retryable call is tried at another upstream; slow responses
 /// take up to one and a half targets.
 const CALL_STALL_TARGETS: u32 = 3;
@@ -86,11 +90,23 @@
     pub async fn serve(self) -> Response<ResponseBody> {
         let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
         let service = self.rule.select_service(rand::random()).cloned();
-        let Some(service) = service else { return refusal_response(&no_upstream) };
+        let Some(mut service) = service else { return refusal_response(&no_upstream) };
+        let mut software = None;
+        if self.rule.kind.is_stream() && self.inbound.head.resume_after > 0 {
+            let Some((began_at, version)) = self.find_origin(&service).await else {
+                return self.refuse_unknown_origin();
+            };
+            if self.rule.has_target(&began_at) {
+                service = began_at;
+            }
+            software = Some(version);
+        }
         if let Some(refusal) = self.gateway.refuse_while_quiet(&service) {
             return refusal_response(&refusal);
         }
-        let Some(spec) = self.build_spec(&service) else { return refusal_response(&no_upstream) };
+        let Some(spec) = self.build_spec(&service, software) else {
+            return refusal_response(&no_upstream);
+        };
         self.log_accepted(&service, &spec);
         let request_id = self.inbound.head.request_id.clone();
         let node = self.gateway.node.clone();
@@ -117,7 +133,31 @@
         }
     }
 
-    fn build_spec(&self, service: &ServiceName) -> Option<RequestSpec> {
+    /// Returns the service and the software version at which the stream began that the caller takes
+    /// up.
+    async fn find_origin(&self, service: &ServiceName) -> Option<(ServiceName, SoftwareVersion)> {
+        let window = origin_lifetime(&self.rule);
+        let first = self.inbound.head.resumes.as_deref();
+        let reply = self.gateway.node.find_origin(first, service, window).await;
+        let known = reply.known.map(|origin| (origin.service, origin.software));
+        known.or_else(|| Some((service.clone(), reply.sole_version?)))
+    }
+
+    fn refuse_unknown_origin(self) -> Response<ResponseBody> {
+        counter!("apricotrun_unknown_origins_total").increment(1);
+        let refusal = Refusal::not_run(RefusalReason::OriginUnknown);
+        let request_id = self.inbound.head.request_id;
+        let node = self.gateway.node.clone();
+        let log = ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node };
+        log.finish(ResponseOutcome::Refused(refusal));
+        refusal_response(&refusal)
+    }
+
+    fn build_spec(
+        &self,
+        service: &ServiceName,
+        software: Option<SoftwareVersion>,
+    ) -> Option<RequestSpec> {
         let node = &self.gateway.node;
         let fleet = node.current_config();
         let template = fleet.templates.get(service)?;
@@ -157,6 +197,7 @@
             id: node.next_request_id(),
             max_output,
             transfer_time: template.link_tokens_per_second.time_for(prompt_tokens),
+            origin_lifetime: self.rule.kind.is_resumable().then(|| origin_lifetime(&self.rule)),
             outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
             part_verdict,
@@ -168,6 +209,7 @@
             retries,
             returning: false,
             max_runs: self.rule.max_runs,
+            software,
             stall_limit: stall_limit(&self.rule),
             tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
         })
@@ -235,6 +277,12 @@
     response
 }
 
+/// Returns how long it is kept which software version began a stream. Both the caller's first
+/// request and the one that takes the stream up may take as long as the route allows.
+fn origin_lifetime(rule: &RouteRule) -> Duration {
+    (rule.timeout * 2).max(MIN_ORIGIN_LIFETIME)
+}
+
 /// Returns how long an upstream may be silent before it counts as failed. A call that runs at most
 /// once has no limit, as no other upstream may run it.
 fn stall_limit(rule: &RouteRule) -> Option<Duration> {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -330,7 +330,10 @@
     });
     let seen = snapshot.seen;
     gateway.apply_snapshot(snapshot);
-    if !settings.first_start {
+    lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), true);
+    if settings.first_start {
+        lock(&gateway.node.versions).mark_first_start();
+    } else {
         gateway.apply_registry_events([RegistryEvent::HoldPlans]);
     }
     if state.gateway.set(gateway.clone()).is_err() {
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -97,6 +97,7 @@
         }
         self.update_roles();
         self.divide_limits();
+        self.spread_origins();
         self.announce_takeovers();
         self.send_summaries();
         self.notify_owner_change();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod shards;
 pub mod spans;
+pub mod stream_origins;
 pub mod tables;
 pub mod tickets;
 pub mod watcher;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
 //! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `limits`,
-//! `flows`, `blocked_peers`, `peer_keys`.
+//! `flows`, `origins`, `versions`, `origin_lookups`, `blocked_peers`, `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
 
@@ -15,6 +15,7 @@
 use crate::coordination::ownership::{rank_daemons, shard_key};
 use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::store::KeyStore;
+use crate::coordination::stream_origins::{OriginBoard, VersionHistory};
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
@@ -23,6 +24,7 @@
 use crate::transport::log_limiter::LogLimiter;
 use crate::transport::runs::AttemptCancel;
 use crate::transport::settings::DaemonSettings;
+use crate::transport::stream_origins::LookupTable;
 use crate::transport::tables::{ClaimTable, OrderTable, ShardTable};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -70,6 +72,12 @@
     pub members: Mutex<MemberTable>,
     /// The order reconcilers of this failure domain, by service.
     pub orders: Mutex<OrderTable>,
+    /// The origins of streams that this daemon keeps.
+    pub origins: Mutex<OriginBoard>,
+    /// The questions about origins that other daemons have not answered yet.
+    pub origin_lookups: Mutex<LookupTable>,
+    /// The software versions that this daemon has seen.
+    pub versions: Mutex<VersionHistory>,
     /// The UDP socket of the membership protocol.
     pub gossip: UdpSocket,
     /// The settings that the daemon was started with.
@@ -236,6 +244,16 @@
             PeerMessage::CrashHistory { parts, requests } => {
                 self.merge_crash_history(&parts, &requests);
             }
+            PeerMessage::StreamOrigin { lifetime, origin, request } => {
+                self.keep_origin(&request, origin, lifetime);
+            }
+            PeerMessage::FindOrigin { lookup, request, service, window } => {
+                let reply = self.known_origin(Some(&request), &service, window);
+                self.send_to_daemon(&from, PeerMessage::FoundOrigin { lookup, reply });
+            }
+            PeerMessage::FoundOrigin { lookup, reply } => {
+                lock(&self.origin_lookups).deliver(lookup, reply);
+            }
             PeerMessage::Tickets(handover) => self.take_over_tickets(from, handover),
             PeerMessage::TicketsAccepted(_) => self.handover_confirmed.notify_one(),
             PeerMessage::TicketSuccessor { from, successor } => {
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -4,7 +4,7 @@
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
-    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
+    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
 };
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
@@ -93,6 +93,7 @@
         accepted: now,
         claim: None,
         deadline: spec.deadline,
+        origin_lifetime: spec.origin_lifetime,
         events,
         flow: RequestFlow::new(now, spec),
         request_id: request_id.to_owned(),
@@ -130,6 +131,7 @@
     /// Whether a part could not be delivered, because the caller disconnected or stopped reading.
     delivery_failed: bool,
     node: Arc<DaemonNode>,
+    origin_lifetime: Option<Duration>,
     parts: Sender<ResponsePart>,
     prefilled: bool,
     prompt: Tokens,
@@ -200,7 +202,9 @@
             FlowAction::StartPrefill(attempt, address) => self.start_prefill(attempt, address),
             FlowAction::StartRun { attempt, address, handle, from, software } => {
                 self.software = software;
-                if from > 0 {
+                if from == 0 {
+                    self.record_origin();
+                } else {
                     self.log_continuation(from);
                 }
                 self.start_run(attempt, address, handle, from);
@@ -263,6 +267,19 @@
         }
     }
 
+    /// Tells other daemons which software version begins the stream, ahead of its first event.
+    fn record_origin(&self) {
+        if let Some(lifetime) = self.origin_lifetime {
+            let origin = StreamOrigin {
+                domain: self.node.settings.domain.clone(),
+                entry: self.node.me.clone(),
+                service: self.service.clone(),
+                software: self.software.clone(),
+            };
+            self.node.record_origin(&self.request_id, origin, lifetime);
+        }
+    }
+
     fn log_continuation(&self, from: u32) {
         if self.node.log_limiter.permits(DecisionKind::Granted) {
             log::info!(
--- a/src/transport/shards.rs
+++ b/src/transport/shards.rs
@@ -96,6 +96,8 @@
     pub fn configure_shards(self: &Arc<Self>, config: &FleetConfig) {
         lock(&self.shards).retain(|service, _| config.templates.contains_key(service));
         for (service, template) in &config.templates {
+            let versions = template.upstreams.iter().map(|upstream| &upstream.software);
+            lock(&self.versions).observe(self.clock.now(), service, versions);
             let domain = self.settings.domain.clone();
             lock(&self.shards).entry(service.clone()).or_insert_with(|| ShardLedger::new(domain));
             let event = ShardEvent::Configure(template.clone(), quotas_for(config, service));
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -68,6 +68,7 @@
         resuming: false,
         returning: false,
         suspect: false,
+        software: None,
         waited: Duration::ZERO,
     }
 }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -6,7 +6,7 @@
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
-use apricotrun::coordination::messages::{ClaimPhase, ReleaseOutcome, ShardMessage};
+use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage};
 use apricotrun::prelude::*;
 use harness::*;
 use std::sync::Arc;
@@ -525,3 +525,52 @@
         Some(RefusalReason::DeadlinePassed)
     );
 }
+
+fn grant_at(number: u32, runner: &str, software: &str) -> ShardMessage {
+    let runner_software = software.parse().expect("valid version");
+    ShardMessage::Grant(GrantMessage {
+        runner_software,
+        ..grant(number, runner, ClaimPhase::Prefill)
+    })
+}
+
+fn requested_software(actions: &[FlowAction]) -> Vec<Option<SoftwareVersion>> {
+    let software = |action: &FlowAction| match action {
+        FlowAction::Send(_, ShardMessage::RequestAdmission(request)) => {
+            Some(request.software.clone())
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(software).collect()
+}
+
+/// Guards against incident inc1 of issue 27.
+#[test]
+fn stream_asks_only_for_the_version_that_wrote_its_first_event() {
+    let mut harness = FlowHarness::new(|_| {});
+    assert_eq!(requested_software(&harness.handle(FlowEvent::Start)), [None]);
+    harness.owner_message(grant_at(1, "d0", "v1"));
+    let failed = FlowEvent::PrefillFailed(attempt(1), UpstreamFailure::Broken);
+    assert_eq!(requested_software(&harness.handle(failed)), [None], "no event was written");
+    harness.owner_message(grant_at(2, "d1", "v2"));
+    harness.handle(FlowEvent::PrefillDone(attempt(2), KvHandle("kv".to_owned())));
+    harness.valid_token(2, 0);
+    let failed = FlowEvent::RunFailed(attempt(2), UpstreamFailure::Broken);
+    let version = |text: &str| Some(text.parse().expect("valid version"));
+    assert_eq!(requested_software(&harness.handle(failed)), [version("v2")]);
+    let actions = harness.owner_message(grant_at(3, "d2", "v1"));
+    let release =
+        |action: &FlowAction| matches!(action, FlowAction::Send(_, ShardMessage::Release(..)));
+    assert!(actions.iter().any(release), "{actions:?}");
+    assert_eq!(requested_software(&actions), [version("v2")]);
+}
+
+#[test]
+fn stream_that_a_caller_takes_up_asks_for_the_version_that_began_it() {
+    let mut harness = FlowHarness::new(|spec| {
+        spec.first_index = 4;
+        spec.software = Some("v1".parse().expect("valid version"));
+    });
+    let actions = harness.handle(FlowEvent::Start);
+    assert_eq!(requested_software(&actions), [Some("v1".parse().expect("valid version"))]);
+}
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -83,6 +83,7 @@
             resuming: !avoid.is_empty(),
             returning: false,
             suspect: false,
+            software: None,
             waited: Duration::ZERO,
         };
         let actions = self.deliver(ShardMessage::RequestAdmission(admission));
--- a/tests/shard/harness.rs
+++ b/tests/shard/harness.rs
@@ -131,6 +131,7 @@
         resuming: false,
         returning: false,
         suspect: false,
+        software: None,
         waited: Duration::ZERO,
     }
 }
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -396,3 +396,53 @@
         }
     }
 }
+
+fn pinned_request(sequence: u64, software: &str) -> ShardMessage {
+    ShardMessage::RequestAdmission(AdmissionRequest {
+        resuming: true,
+        software: Some(software.parse().expect("valid version")),
+        ..admission_request("a", sequence, "desk")
+    })
+}
+
+/// Guards against incident inc1 of issue 27.
+#[test]
+fn request_of_a_software_version_is_granted_no_other() {
+    let mut harness = ShardHarness::owner(&["a"]);
+    harness.configure(|template| {
+        for upstream in &mut template.upstreams {
+            let software = if upstream.name.as_str() == "d1" { "v2" } else { "v1" };
+            upstream.software = software.parse().expect("valid version");
+        }
+    });
+    for sequence in 1..=2 {
+        let grants = granted(&harness.deliver("a", pinned_request(sequence, "v2")));
+        assert_eq!(grants[0].claim.runner.as_str(), "d1");
+        assert_eq!(grants[0].runner_software.as_str(), "v2");
+        harness.start_run(&grants[0]);
+    }
+    let waits = harness.deliver("a", pinned_request(3, "v2"));
+    assert!(granted(&waits).is_empty() && refused(&waits).is_empty(), "d1 is full: {waits:?}");
+    let none = harness.deliver("a", pinned_request(4, "v3"));
+    assert_eq!(refused(&none).first().map(|r| r.reason), Some(RefusalReason::NoUpstream));
+}
+
+/// A request for a version whose workers are full waits at the head of the queue, and the others
+/// have free slots.
+#[test]
+fn request_of_a_full_software_version_blocks_no_other() {
+    let mut harness = ShardHarness::owner(&["a"]);
+    harness.configure(|template| {
+        let d1 = template.upstreams.iter_mut().find(|u| u.name.as_str() == "d1");
+        d1.expect("the worker").software = "v2".parse().expect("valid version");
+    });
+    let grants = harness.fill_decode_slots("a");
+    assert!(granted(&harness.deliver("a", pinned_request(5, "v2"))).is_empty());
+    assert!(granted(&harness.request_admission("a", 6)).is_empty());
+    let at_d0 = grants.iter().find(|grant| grant.claim.runner.as_str() == "d0");
+    let attempt = at_d0.expect("a grant").claim.attempt.clone();
+    let release = ShardMessage::Release(attempt, ReleaseOutcome::Finished);
+    let next = granted(&harness.deliver("a", release));
+    assert_eq!(next.len(), 1, "the slot of d0 is free for the other request");
+    assert_eq!(next[0].claim.attempt.request.sequence, 6);
+}
