Pass requests on to other hosts while a host reaches no upstream

Cause: an isolated host went on trying by itself, 400 ms for each upstream, until the time of the request was used up; nothing told it that the fault lay with its own paths, nor that others could serve the request.

Ruled out: reporting the host as not ready (open connections stay, and the load balancer uses a failure domain all the same if most of its hosts are not ready).

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod notices;
 pub mod orders;
 pub mod ownership;
+pub mod paths;
 pub mod registry;
 pub mod request_limits;
 pub mod retries;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -282,6 +282,11 @@
         self.entries.get(name).map(|entry| (entry.record.domain.clone(), entry.record.role))
     }
 
+    /// Returns the addresses of all upstreams.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.values().map(|entry| entry.record.address).collect()
+    }
+
     /// Returns the address of an upstream.
     pub fn address_of(&self, name: &UpstreamName) -> Option<SocketAddr> {
         self.entries.get(name).map(|entry| entry.record.address)
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::flow::UpstreamFailure;
 use crate::prelude::*;
+use crate::transport::gateway::paths::PathWatch;
 use crate::transport::node::lock;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -53,6 +54,8 @@
     clock: Arc<dyn Clock>,
     idle: Mutex<BTreeMap<ConnectionKey, Vec<IdleConnection>>>,
     open: Arc<Mutex<BTreeMap<SocketAddr, usize>>>,
+    /// Is told which connections are established, and which fail.
+    paths: Option<Arc<PathWatch>>,
 }
 
 /// An open connection. Dropping it closes the connection, upon which the upstream cancels the
@@ -100,10 +103,10 @@
 }
 
 impl ConnectionPool {
-    /// Returns a pool without connections.
-    pub fn new(clock: Arc<dyn Clock>) -> Self {
+    /// Returns a pool without connections, which reports to `paths`.
+    pub fn new(clock: Arc<dyn Clock>, paths: Option<Arc<PathWatch>>) -> Self {
         let open = Arc::new(Mutex::new(BTreeMap::new()));
-        Self { clock, idle: Mutex::new(BTreeMap::new()), open }
+        Self { clock, idle: Mutex::new(BTreeMap::new()), open, paths }
     }
 
     /// Sends a request to an upstream and waits for the response head. At most `limit` connections
@@ -189,12 +192,17 @@
         let permit = self.acquire_permit(key.0, limit).ok_or(UpstreamFailure::NothingSent)?;
         counter!("apricotrun_upstream_connections_total").increment(1);
         let stream = match timeout(CONNECT_TIMEOUT, connect(key.0)).await {
-            Ok(Ok(stream)) => stream,
+            Ok(Ok(stream)) => {
+                self.report(|paths| paths.record_connection());
+                stream
+            }
             Ok(Err(error)) => {
+                self.report(|paths| paths.record_failure(&key.1));
                 log::debug!("channel: connecting to {} at {} failed: {error}", key.1, key.0);
                 return Err(UpstreamFailure::NothingSent);
             }
             Err(_) => {
+                self.report(|paths| paths.record_failure(&key.1));
                 log::debug!("channel: connecting to {} at {} timed out", key.1, key.0);
                 return Err(UpstreamFailure::NothingSent);
             }
@@ -205,14 +213,24 @@
             .await
             .map_err(|_| UpstreamFailure::NothingSent)?;
         let name = key.1.clone();
+        let paths = self.paths.clone();
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
+                if let Some(paths) = paths {
+                    paths.record_failure(&name);
+                }
                 log::debug!("channel: a connection to {name} ended: {error}");
             }
         });
         Ok(PooledConnection { permit, key: key.clone(), sender, task: task.abort_handle() })
     }
 
+    fn report(&self, report: impl FnOnce(&PathWatch)) {
+        if let Some(paths) = &self.paths {
+            report(paths);
+        }
+    }
+
     fn acquire_permit(&self, address: SocketAddr, limit: usize) -> Option<ConnectionPermit> {
         let mut open = lock(&self.open);
         let count = open.entry(address).or_default();
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -123,6 +123,9 @@
     /// Removes headers from an upstream's response that are meant for this system only.
     fn strip_response(&self, headers: &mut HeaderMap);
 
+    /// Says in the headers of a request to another host how long it may take from now on.
+    fn write_timeout(&self, timeout: Duration, headers: &mut HeaderMap);
+
     /// Adds the headers for the upstream to the caller's.
     fn write_request(&self, head: &OutboundHead<'_>, headers: &mut HeaderMap);
 
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -8,6 +8,7 @@
 use crate::transport::gateway::dialect::{
     InboundHead, OutboundHead, ResponseHead, ResponseKind, UpstreamStep,
 };
+use crate::transport::gateway::relay::RelayOutcome;
 use crate::transport::gateway::reply::drop_connection_headers;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::gateway::stream::EventDecoder;
@@ -40,6 +41,8 @@
     pub headers: HeaderMap,
     /// The method, forwarded unchanged.
     pub method: Method,
+    /// Whether another host has passed the request on to this one.
+    pub relayed: bool,
     /// The memory reserved for the body.
     pub reservation: BodyReservation,
     /// Path and query, forwarded unchanged.
@@ -108,6 +111,16 @@
         }
     }
 
+    /// Passes the request on to another host if it has run nowhere and this host reaches no
+    /// upstream.
+    pub async fn pass_on(&self, refusal: &Refusal, deadline: Instant) -> RelayOutcome {
+        let has_run = refusal.verdict != Verdict::NotRun;
+        if has_run || self.request.relayed || !self.gateway.paths.is_isolated() {
+            return RelayOutcome::NoHost;
+        }
+        self.gateway.relay(&self.request, deadline).await
+    }
+
     /// Returns the upstream's response as far as it has been received.
     pub fn response(&self) -> Option<UpstreamResponse> {
         lock(&self.response).clone()
@@ -118,6 +131,9 @@
         target: &AttemptTarget,
         step: UpstreamStep<'_>,
     ) -> Result<(UpstreamExchange, ResponseHead), UpstreamFailure> {
+        if self.gateway.paths.is_isolated() {
+            return Err(UpstreamFailure::Withheld);
+        }
         let now = self.gateway.node.clock.now();
         // The upstream may have started to drain while the request was queued.
         let incarnation = self.gateway.check_upstream(now, &target.upstream)?;
@@ -345,7 +361,10 @@
         Box::pin(async move {
             let last = self.run_at(run, events).await;
             match last {
-                Err(UpstreamFailure::Broken) => Err(diagnose(run.target.address).await),
+                // Without a path, a refused connection does not show that the upstream has died.
+                Err(UpstreamFailure::Broken) if !self.gateway.paths.is_isolated() => {
+                    Err(diagnose(run.target.address).await)
+                }
                 last => last,
             }
         })
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -5,6 +5,7 @@
 use crate::transport::gateway::bodies::BodyError;
 use crate::transport::gateway::forward::InboundRequest;
 use crate::transport::gateway::heads::{HeadTimer, TimedStream};
+use crate::transport::gateway::relay::RELAYED;
 use crate::transport::gateway::reply::{
     ResponseBody, drop_connection_headers, refusal_response, text_response,
 };
@@ -212,8 +213,9 @@
     let mut headers = parts.headers;
     drop_connection_headers(&mut headers);
     gateway.dialect.strip(&mut headers);
+    let relayed = headers.remove(RELAYED).is_some();
     let (method, uri) = (parts.method, parts.uri);
-    let inbound = InboundRequest { body, head, headers, method, reservation, uri };
+    let inbound = InboundRequest { body, head, headers, method, relayed, reservation, uri };
     ForwardedRequest { accepted, deadline, gateway, guard, inbound, routes, rule }.serve().await
 }
 
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 use crate::transport::gateway::bodies::BodyReservation;
+use crate::transport::gateway::channels::UpstreamExchange;
 use crate::transport::requests::ResponsePart;
 use bytes::Bytes;
 use http::header::{self, HeaderName};
@@ -53,6 +54,13 @@
         /// The later events.
         parts: Receiver<ResponsePart>,
     },
+    /// The body of another host's response, as it arrives.
+    Relayed {
+        /// The rest of the body, and the connection that carries it.
+        exchange: Box<UpstreamExchange>,
+        /// Called once when the body has ended.
+        on_end: Option<CompletionHook>,
+    },
 }
 
 impl ResponseBody {
@@ -64,7 +72,7 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        if let Self::Events { on_end, .. } = self
+        if let Self::Events { on_end, .. } | Self::Relayed { on_end, .. } = self
             && let Some(on_end) = on_end.take()
         {
             on_end(ResponseOutcome::CallerDisconnected);
@@ -91,6 +99,7 @@
                 }
                 poll_events(on_end, parts, context)
             }
+            Self::Relayed { exchange, on_end } => poll_relayed(exchange, on_end, context),
         }
     }
 
@@ -102,6 +111,7 @@
         match self {
             Self::Buffered(bytes, _) => SizeHint::with_exact(bytes.len() as u64),
             Self::Events { .. } => SizeHint::default(),
+            Self::Relayed { exchange, .. } => exchange.response.body().size_hint(),
         }
     }
 }
@@ -129,6 +139,23 @@
     }
 }
 
+fn poll_relayed(
+    exchange: &mut UpstreamExchange,
+    on_end: &mut Option<CompletionHook>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+    let frame = std::task::ready!(Pin::new(exchange.response.body_mut()).poll_frame(context));
+    let outcome = match frame {
+        Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
+        Some(Err(_)) => ResponseOutcome::Refused(request_task_lost()),
+        None => ResponseOutcome::Complete,
+    };
+    if let Some(on_end) = on_end.take() {
+        on_end(outcome);
+    }
+    Poll::Ready((outcome != ResponseOutcome::Complete).then_some(Err(TruncatedStream)))
+}
+
 /// Returns the refusal of a request whose task ended without reporting an outcome.
 pub fn request_task_lost() -> Refusal {
     Refusal::not_run(RefusalReason::UpstreamFailed).with_verdict(Verdict::MayHaveRun)
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -6,8 +6,10 @@
 use crate::transport::gateway::dialect::InboundHead;
 use crate::transport::gateway::forward::{ForwardExecutor, InboundRequest, UpstreamResponse};
 use crate::transport::gateway::frontend::InFlightGuard;
+use crate::transport::gateway::relay::{RelayOutcome, refuse_relayed};
 use crate::transport::gateway::reply::{
-    ResponseBody, ResponseOutcome, refusal_response, request_task_lost, status_of,
+    ResponseBody, ResponseOutcome, drop_connection_headers, refusal_response, request_task_lost,
+    status_of,
 };
 use crate::transport::gateway::start::Gateway;
 use crate::transport::log_limiter::DecisionKind;
@@ -88,6 +90,16 @@
 impl ForwardedRequest {
     /// Runs the request and returns its response. The events of a stream are relayed in the body.
     pub async fn serve(self) -> Response<ResponseBody> {
+        if self.gateway.paths.is_isolated() {
+            if self.inbound.relayed {
+                return refuse_relayed();
+            }
+            match self.gateway.relay(&self.inbound, self.deadline).await {
+                // The request is refused below, unless a path has opened meanwhile.
+                RelayOutcome::NoHost => {}
+                outcome => return finish_relayed(outcome, self.into_log()),
+            }
+        }
         let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
         let service = self.rule.select_service(rand::random()).cloned();
         let Some(mut service) = service else { return refusal_response(&no_upstream) };
@@ -116,7 +128,7 @@
         let parts =
             start_request(&node, service, &request_id, spec, executor.clone(), Box::new(NoTrace));
         let log = ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node };
-        wait_for_response(parts, &executor, log).await
+        wait_for_response(parts, &executor, log, self.deadline).await
     }
 
     fn log_accepted(&self, service: &ServiceName, spec: &RequestSpec) {
@@ -146,11 +158,14 @@
     fn refuse_unknown_origin(self) -> Response<ResponseBody> {
         counter!("apricotrun_unknown_origins_total").increment(1);
         let refusal = Refusal::not_run(RefusalReason::OriginUnknown);
+        self.into_log().finish(ResponseOutcome::Refused(refusal));
+        refusal_response(&refusal)
+    }
+
+    fn into_log(self) -> ResponseLog {
         let request_id = self.inbound.head.request_id;
         let node = self.gateway.node.clone();
-        let log = ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node };
-        log.finish(ResponseOutcome::Refused(refusal));
-        refusal_response(&refusal)
+        ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node }
     }
 
     fn build_spec(
@@ -221,6 +236,7 @@
     mut parts: Receiver<ResponsePart>,
     executor: &ForwardExecutor,
     log: ResponseLog,
+    deadline: Instant,
 ) -> Response<ResponseBody> {
     loop {
         match parts.recv().await {
@@ -234,7 +250,12 @@
                 log.finish(ResponseOutcome::Complete);
                 return buffered_response(executor.response());
             }
-            Some(ResponsePart::Refused(refusal)) => return finish_refused(executor, log, refusal),
+            Some(ResponsePart::Refused(refusal)) => {
+                return match executor.pass_on(&refusal, deadline).await {
+                    RelayOutcome::NoHost => finish_refused(executor, log, refusal),
+                    outcome => finish_relayed(outcome, log),
+                };
+            }
             None => return finish_refused(executor, log, request_task_lost()),
         }
     }
@@ -260,6 +281,26 @@
     }
 }
 
+/// Returns the response to a request that was passed on to another host.
+fn finish_relayed(outcome: RelayOutcome, log: ResponseLog) -> Response<ResponseBody> {
+    let mut exchange = match outcome {
+        RelayOutcome::Response(exchange) => exchange,
+        RelayOutcome::Lost(refusal) => {
+            log.finish(ResponseOutcome::Refused(refusal));
+            return refusal_response(&refusal);
+        }
+        RelayOutcome::NoHost => return refusal_response(&request_task_lost()),
+    };
+    let (status, mut headers) =
+        (exchange.response.status(), std::mem::take(exchange.response.headers_mut()));
+    drop_connection_headers(&mut headers);
+    let on_end = Box::new(move |outcome| log.finish(outcome));
+    let mut response = Response::new(ResponseBody::Relayed { exchange, on_end: Some(on_end) });
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
 fn buffered_response(response: Option<UpstreamResponse>) -> Response<ResponseBody> {
     let Some(response) = response else { return refusal_response(&request_task_lost()) };
     let body = ResponseBody::Buffered(response.body.clone(), response.reservation.clone());
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -17,8 +17,10 @@
 use crate::transport::gateway::dialect::GatewayDialect;
 use crate::transport::gateway::directory::{DirectorySource, retry_until_ok, watch_directory};
 use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
+use crate::transport::gateway::paths::{PathWatch, probe_paths};
 use crate::transport::gateway::probes::{install_recorder, serve_probes};
 use crate::transport::gateway::registration::renew_registration;
+use crate::transport::gateway::relay::RelayBoard;
 use crate::transport::gateway::roles::{RoleClient, plan_roles};
 use crate::transport::gossip;
 use crate::transport::links::serve_links;
@@ -114,6 +116,12 @@
     pub propagation_limit: Duration,
     /// The daemon's state outside the gateway: members, shards and configuration.
     pub node: Arc<DaemonNode>,
+    /// Whether this host reaches upstreams.
+    pub paths: Arc<PathWatch>,
+    /// The connections to other hosts that requests are passed on to.
+    pub relay_connections: ConnectionPool,
+    /// The hosts to which no requests are passed on now.
+    pub relays: RelayBoard,
     /// Notified when this host has to register again.
     pub registration_due: Notify,
     /// The registered upstreams.
@@ -310,10 +318,14 @@
     tokio::spawn(gossip::tick_members(node.clone()));
     tokio::spawn(tick_shards(node.clone()));
     tokio::spawn(send_summaries(node.clone()));
+    let paths = Arc::new(PathWatch::new(node.clock.clone()));
     let gateway = Arc::new(Gateway {
         account: DEFAULT_ACCOUNT.parse()?,
         response_budget: MemoryBudget::for_responses(),
-        connections: ConnectionPool::new(node.clock.clone()),
+        connections: ConnectionPool::new(node.clock.clone(), Some(paths.clone())),
+        paths,
+        relay_connections: ConnectionPool::new(node.clock.clone(), None),
+        relays: RelayBoard::default(),
         dialect,
         first_start: settings.first_start,
         propagation_limit: settings.propagation_limit,
@@ -339,6 +351,7 @@
     if state.gateway.set(gateway.clone()).is_err() {
         log::error!("daemon: the gateway was started twice");
     }
+    tokio::spawn(probe_paths(gateway.clone()));
     tokio::spawn(watch_directory(gateway.clone(), seen));
     tokio::spawn(plan_roles(gateway.clone(), roles));
     tokio::spawn(renew_registration(gateway.clone()));
