Give the history of software versions a file of its own

The file of stream origins had two jobs. Code moved unchanged; the comment on the timeout of unacknowledged bytes says what the kernel does.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod retries;
 pub mod roles;
 pub mod shard;
+pub mod software_versions;
 pub mod store;
 pub mod stream_origins;
 pub mod tickets;
--- /dev/null
+++ b/src/coordination/software_versions.rs
@@ -0,0 +1,69 @@
+//! Remembers which software versions have served, so that a stream of unknown origin goes on where
+//! only one version can have begun it. See docs/DESIGN.md, "Software versions".
+
+use crate::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The software versions of each service that this daemon has seen.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// Since when every version is known; `None` while the records of upstreams cannot be read.
+    complete_since: Option<Instant>,
+    /// Whether no stream can be older than this daemon, as the whole deployment has just started.
+    first_start: bool,
+    /// The versions, each with the time at which its last upstream had gone.
+    versions: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Instant>>>,
+}
+
+impl VersionHistory {
+    /// Records that the whole deployment starts for the first time.
+    pub fn mark_first_start(&mut self) {
+        self.first_start = true;
+    }
+
+    /// Records the versions of a service's upstreams.
+    pub fn observe<'a>(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        present: impl Iterator<Item = &'a SoftwareVersion>,
+    ) {
+        let present: BTreeSet<_> = present.collect();
+        let versions = self.versions.entry(service.clone()).or_default();
+        for (version, gone_at) in versions.iter_mut() {
+            let gone = !present.contains(version);
+            *gone_at = if gone { gone_at.or(Some(now)) } else { None };
+        }
+        for version in present {
+            versions.entry(version.clone()).or_default();
+        }
+    }
+
+    /// Records whether the records of upstreams can be read. Versions may come and go unseen while
+    /// they cannot.
+    pub fn set_readable(&mut self, now: Instant, readable: bool) {
+        match readable {
+            true => drop(self.complete_since.get_or_insert(now)),
+            false => (self.complete_since, self.first_start) = (None, false),
+        }
+    }
+
+    /// Returns the only software version that any stream of the service can have begun at within
+    /// the last `window`; `None` if there were several, or if this daemon cannot know.
+    pub fn sole_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        window: Duration,
+    ) -> Option<SoftwareVersion> {
+        let since = self.complete_since?;
+        if !self.first_start && now < since + window {
+            return None;
+        }
+        let versions = self.versions.get(service)?.iter();
+        let mut recent =
+            versions.filter(|(_, gone_at)| gone_at.is_none_or(|gone_at| now < gone_at + window));
+        let (sole, _) = recent.next()?;
+        recent.next().is_none().then(|| sole.clone())
+    }
+}
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -23,8 +23,8 @@
 /// Timeout for connecting; an upstream in another failure domain accepts within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay unacknowledged before the kernel closes a connection
-/// (`TCP_USER_TIMEOUT`). A sound upstream may be silent for a second or more, and the kernel sends
-/// again only 3 s after the first time if it was silent at 1.4 s.
+/// (`TCP_USER_TIMEOUT`). A sound upstream may be silent for a second or more, and the kernel, which
+/// doubles its pauses, sends again only after some 3 s if one at 1.4 s was lost.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// How long a connection is silent before the first TCP keepalive probe, and between two probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(2);
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -14,8 +14,9 @@
 };
 use crate::coordination::ownership::{rank_daemons, shard_key};
 use crate::coordination::request_limits::LimitBoard;
+use crate::coordination::software_versions::VersionHistory;
 use crate::coordination::store::KeyStore;
-use crate::coordination::stream_origins::{OriginBoard, VersionHistory};
+use crate::coordination::stream_origins::OriginBoard;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -1,9 +1,8 @@
 //! Tests of how daemons keep the software version that began a stream.
 
 use apricotrun::coordination::messages::StreamOrigin;
-use apricotrun::coordination::stream_origins::{
-    DaemonDomains, OriginBoard, OriginCopy, VersionHistory,
-};
+use apricotrun::coordination::software_versions::VersionHistory;
+use apricotrun::coordination::stream_origins::{DaemonDomains, OriginBoard, OriginCopy};
 use apricotrun::prelude::*;
 use std::collections::BTreeMap;
 
