Client accounts of a deployment: keys, revocation and allotments

Cause: the adapter read neither the accounts nor the key.

Keys are kept as digests; a host accepts keys only while it can prove that its configuration was the latest one less than three quarters of the revocation limit ago, by its own answers from the store or another host's acknowledgement of a probe; allotments are leased by one host for each account. Deployments without accounts read no key and send no message.

Ruled out: a bucket that goes into debt for every request.

--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -77,6 +77,8 @@
     record: MemberRecord,
     /// When this daemon stored the record.
     changed_at: Instant,
+    /// Whether this incarnation has announced that it stops.
+    has_left: bool,
 }
 
 /// The regular probe that awaits its ack.
@@ -185,6 +187,17 @@
         self.others().any(|record| record.state != MemberState::Dead)
     }
 
+    /// Returns how many daemons have been declared dead within the last `span` that had not announced
+    /// that they stop. They may run, cut off from this one.
+    pub fn lost_count(&self, now: Instant, span: Duration) -> usize {
+        let is_lost = |entry: &&MemberEntry| {
+            entry.record.state == MemberState::Dead
+                && !entry.has_left
+                && now < entry.changed_at + span
+        };
+        self.members.values().filter(is_lost).count()
+    }
+
     /// Returns this daemon's own record.
     pub fn me(&self) -> &MemberRecord {
         &self.me
@@ -240,10 +253,11 @@
                 self.check_revision(from, revision, out);
                 let updates = self.collect_updates();
                 let (crashes, era, revision) = (self.crashes, self.era, self.revision);
-                let ack = GossipMessage::Ack { nonce, crashes, era, revision, updates };
+                let ack =
+                    GossipMessage::Ack { nonce, freshness: None, crashes, era, revision, updates };
                 out.push(MemberAction::Send(from, ack));
             }
-            GossipMessage::Ack { nonce, crashes, era, revision, updates } => {
+            GossipMessage::Ack { nonce, crashes, era, revision, updates, .. } => {
                 self.merge_all(now, updates, out);
                 self.check_crashes(from, crashes, out);
                 self.check_era(era, out);
@@ -304,7 +318,9 @@
         if let Some(relay) = self.relays.remove(&nonce) {
             let (nonce, revision) = (relay.nonce, Revision(0));
             let (crashes, era) = (self.crashes, self.era);
-            let ack = GossipMessage::Ack { nonce, crashes, era, revision, updates: Vec::new() };
+            let updates = Vec::new();
+            let ack =
+                GossipMessage::Ack { nonce, freshness: None, crashes, era, revision, updates };
             out.push(MemberAction::Send(relay.requester, ack));
         }
     }
@@ -339,8 +355,16 @@
     fn put_record(&mut self, now: Instant, record: MemberRecord) {
         let transmits_left = self.transmit_limit();
         let host = record.daemon.host.clone();
-        let entry =
-            MemberEntry { suspected_locally: false, transmits_left, record, changed_at: now };
+        let known = self.members.get(&host).filter(|known| known.record.daemon == record.daemon);
+        let has_left =
+            record.state == MemberState::Leaving || known.is_some_and(|known| known.has_left);
+        let entry = MemberEntry {
+            suspected_locally: false,
+            transmits_left,
+            record,
+            changed_at: now,
+            has_left,
+        };
         self.members.insert(host, entry);
     }
 
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -1,5 +1,7 @@
 //! Messages between daemons. The codec is in [`crate::protocol`]; see docs/PROTOCOL.md.
 
+use crate::coordination::allotments::AllotmentMessage;
+use crate::coordination::freshness::FreshnessRecord;
 use crate::coordination::shard::RequestStats;
 use crate::coordination::store::StoreEra;
 use crate::prelude::*;
@@ -218,6 +220,8 @@
     Ack {
         /// The nonce of the probe.
         nonce: u64,
+        /// How recent the sender's configuration is, if keys depend on that.
+        freshness: Option<FreshnessRecord>,
         /// What the sender refuses because it crashes upstreams.
         crashes: CrashDigest,
         /// The latest era of the platform's store that the sender knows of.
@@ -335,8 +339,15 @@
 }
 
 /// All messages that daemons exchange over TCP.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
+    /// A message about the allotment of a client account.
+    Allotment {
+        /// The account.
+        account: AccountName,
+        /// The content for the host that leases tokens, or for the account's ledger.
+        message: AllotmentMessage,
+    },
     /// A message about one shard.
     Shard {
         /// The service that the shard belongs to.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,11 +2,13 @@
 //! the time and an event and returns actions, so a test can describe any failure as a list of
 //! events.
 
+pub mod allotments;
 pub mod claims;
 pub mod config;
 pub mod crashes;
 pub mod crashing_parts;
 pub mod flow;
+pub mod freshness;
 pub mod membership;
 pub mod messages;
 pub mod notices;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -31,6 +31,11 @@
     format!("limit/{upstream}")
 }
 
+/// Returns the key by which the daemons that may keep the ledger of an account are ranked.
+pub fn allotment_key(account: &AccountName) -> String {
+    format!("allotment/{account}")
+}
+
 /// Returns the key by which the daemons that keep the origin of a stream are ranked. `request` is
 /// the caller's id of the request that began it.
 pub fn origin_key(request: &str) -> String {
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Types that nearly every module uses.
 
-pub use crate::state::clock::{Clock, SystemClock};
+pub use crate::state::accounts::{AccountDirectory, ClientAccount, KeyDigest, TokenAllotment};
+pub use crate::state::clock::{BootTime, Clock, SystemClock};
 pub use crate::state::fleet::{
     FleetConfig, PlacementScope, ServiceTemplate, UpstreamRole, UpstreamSpec,
 };
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 /// The version of the protocol; daemons drop messages of any other version.
-pub const PROTOCOL_VERSION: u8 = 4;
+pub const PROTOCOL_VERSION: u8 = 5;
 /// The largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 2048;
 /// The largest frame on a connection, in bytes.
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -60,6 +60,8 @@
     pub priority: u32,
     /// The number of upstreams on which one request may run.
     pub max_runs: u32,
+    /// Whether requests need no key, though the configuration has client accounts.
+    pub open_to_all: bool,
     /// The services among which the requests are split.
     pub targets: Vec<RouteTarget>,
     /// The longest duration of a request.
@@ -139,6 +141,8 @@
 /// All routes and services of one revision; immutable once built.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
+    /// The client accounts; `None` if requests need no key.
+    pub accounts: Option<AccountDirectory>,
     /// The limits for what callers send.
     pub limits: CallerLimits,
     /// The revision of the table.
@@ -155,7 +159,7 @@
         services: BTreeMap<ServiceName, RoutedService>,
         limits: CallerLimits,
     ) -> Self {
-        Self { limits, revision, routes: BTreeMap::new(), services }
+        Self { accounts: None, limits, revision, routes: BTreeMap::new(), services }
     }
 
     /// Adds a route for a host and a prefix that begins and ends with a slash.
--- a/src/state/verdict.rs
+++ b/src/state/verdict.rs
@@ -100,6 +100,10 @@
     NoConfiguration,
     /// It is not known which software version began the stream that the request takes up.
     OriginUnknown,
+    /// The account has used the tokens that it may use.
+    AllotmentSpent,
+    /// This daemon's configuration is too old to tell whether the key is still valid.
+    StaleConfiguration,
 }
 
 impl RefusalReason {
@@ -113,7 +117,7 @@
             Self::TooLarge => 413,
             Self::BadRequest | Self::CrashesUpstream | Self::BadTicket => 422,
             Self::NeedsTicket => 428,
-            Self::Overloaded | Self::AccountLimit => 429,
+            Self::Overloaded | Self::AccountLimit | Self::AllotmentSpent => 429,
             Self::UpstreamFailed | Self::TicketHomeGone => 502,
             Self::NoUpstream
             | Self::NoOwner
@@ -121,7 +125,8 @@
             | Self::StoreDown
             | Self::Stopping
             | Self::NoConfiguration
-            | Self::OriginUnknown => 503,
+            | Self::OriginUnknown
+            | Self::StaleConfiguration => 503,
             Self::DeadlinePassed => 504,
         }
     }
@@ -157,6 +162,8 @@
             Self::StoreDown => "the platform store cannot be reached",
             Self::Stopping => "this daemon is stopping",
             Self::NoConfiguration => "this daemon has no configuration yet",
+            Self::AllotmentSpent => "the client account has used its allotment",
+            Self::StaleConfiguration => "the configuration of this daemon is too old to check keys",
             Self::OriginUnknown => "it is not known which software version began the stream",
         };
         f.write_str(text)
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -1,7 +1,9 @@
 //! Builds the shared state of a daemon.
 
+use crate::coordination::allotments::AllotmentTolerance;
 use crate::coordination::config::ConfigReplica;
 use crate::coordination::crashes::CrashLedger;
+use crate::coordination::freshness::FreshnessMonitor;
 use crate::coordination::membership::MemberTable;
 use crate::coordination::messages::{MemberRecord, MemberState};
 use crate::coordination::request_limits::LimitBoard;
@@ -11,6 +13,7 @@
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
+use crate::transport::allotments::AllotmentDesk;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::CliResult;
 use crate::transport::links::PeerLinks;
@@ -33,6 +36,8 @@
     /// The incarnation of the daemon, higher than any earlier one of its host; when absent, the
     /// time of day in milliseconds.
     pub incarnation: Option<Incarnation>,
+    /// By how much client accounts may exceed their allotments.
+    pub tolerance: AllotmentTolerance,
     /// The key-value store of the platform.
     pub store: Arc<dyn KeyStore>,
     /// The HTTP client for upstreams.
@@ -65,6 +70,8 @@
     };
     let members = MemberTable::new(now, record, settings.seeds.clone(), rand::random());
     Ok(DaemonNode {
+        allotments: AllotmentDesk::new(parts.tolerance),
+        freshness: Mutex::new(FreshnessMonitor::default()),
         blocked_peers: Mutex::new(BTreeSet::new()),
         cancels: parts.cancels,
         claims: Mutex::new(ClaimTable::default()),
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts a daemon, and shuts it down gracefully without cutting off a request.
 
+use crate::coordination::allotments::AllotmentTolerance;
 use crate::coordination::membership::MemberEvent;
 use crate::prelude::*;
 use crate::transport::build::{NodeDependencies, build_node};
@@ -54,6 +55,7 @@
     let listener = TcpListener::bind(settings.peer).await?;
     let upstreams = Arc::new(UpstreamClient::new()?);
     let parts = NodeDependencies {
+        tolerance: AllotmentTolerance::default(),
         incarnation: None,
         cancels: upstreams.clone(),
         store: Arc::new(ConsulStore::new(settings.store)?),
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -1,9 +1,9 @@
 //! The interface between the gateway and a deployment's HTTP headers.
 
 use crate::prelude::*;
-use http::HeaderMap;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
+use http::{HeaderMap, HeaderValue};
 use thiserror::Error;
 
 /// Why the headers of a request were rejected.
@@ -72,6 +72,8 @@
 /// What the gateway adds to the headers of a request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct OutboundHead<'a> {
+    /// The client account of the request, if callers have accounts.
+    pub account: Option<&'a AccountName>,
     /// How long the upstream may take from now on.
     pub timeout: Duration,
     /// The step that the upstream is asked to perform.
@@ -117,6 +119,15 @@
     /// Returns the header that is missing or malformed.
     fn read_request(&self, head: &RequestParts) -> Result<InboundHead, HeadError>;
 
+    /// Returns the key of a client account; `None` if the request carries none or several.
+    fn read_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
+
+    /// Adds a caller's key to the headers of a request to another host.
+    fn write_key(&self, key: &HeaderValue, headers: &mut HeaderMap);
+
+    /// Removes a caller's key and the name of an account from a request.
+    fn strip_account(&self, headers: &mut HeaderMap);
+
     /// Removes headers that only this system may set from a caller's request.
     fn strip(&self, headers: &mut HeaderMap);
 
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// How long one watch waits for changes. A connection that breaks without a reset delays changes by
 /// no more than this and the timeout of the call.
@@ -44,6 +45,8 @@
     pub plans: BTreeMap<ServiceName, PlanRecord>,
     /// The routes; absent before the operator has written any.
     pub routes: Option<RouteTable>,
+    /// Whether there are routes that cannot be read.
+    pub has_unreadable_routes: bool,
     /// The version from which a watch continues.
     pub seen: StoreVersion,
     /// The records of all upstreams.
@@ -57,6 +60,8 @@
     Host(HostName, SocketAddr),
     /// The key that all daemons share was written.
     Key(SharedKey),
+    /// The operator wrote routes that cannot be read.
+    UnreadableRoutes,
     /// A role plan was made or begun.
     Planned(ServiceName, PlanRecord),
     /// The operator wrote new routes.
@@ -156,8 +161,11 @@
     let mut returned_at = None;
     loop {
         let started = gateway.node.clock.now();
+        let asked_at = gateway.node.clock.boot();
         // After a failure only the changes that are already there are read, which returns at once.
-        let wait = if store_lost { Duration::ZERO } else { WATCH_WAIT };
+        let stale_after = lock(&gateway.node.freshness).limit();
+        let longest = stale_after.map_or(WATCH_WAIT, |limit| (limit / 3).min(WATCH_WAIT));
+        let wait = if store_lost { Duration::ZERO } else { longest };
         let update = gateway.source.watch(seen, wait).await;
         if update.is_ok() && store_lost {
             store_lost = false;
@@ -194,7 +202,9 @@
                 gateway.apply_changes(changes);
                 let now = gateway.node.clock.now();
                 lock(&gateway.node.versions).set_readable(now, true);
+                gateway.record_answer(asked_at, seen.era);
                 let period = gateway.propagation_limit.mul_f64(WATCH_PERIOD_FRACTION);
+                let period = stale_after.map_or(period, |limit| period.min(limit.mul_f64(0.4)));
                 let period = match returned_at {
                     Some(at) if now < at + RETURN_WATCH_TIME => period.min(RETURN_WATCH_PERIOD),
                     _ => period,
@@ -228,6 +238,7 @@
     pub fn apply_snapshot(self: &Arc<Self>, snapshot: DirectorySnapshot) {
         self.record_era(snapshot.seen.era);
         self.check_registration(&snapshot);
+        self.note_readable(!snapshot.has_unreadable_routes);
         if let Some(routes) = snapshot.routes {
             self.apply_routes(routes);
         }
@@ -250,6 +261,7 @@
             "store: has returned from an older copy"
         );
         self.check_registration(&snapshot);
+        self.note_readable(!snapshot.has_unreadable_routes);
         if let Some(routes) = snapshot.routes {
             self.apply_routes(routes);
         }
@@ -299,7 +311,11 @@
                     reconfigure = true;
                     events.push(self.observe_plan(service, plan));
                 }
-                DirectoryChange::Routes(routes) => reconfigure |= self.apply_routes(routes),
+                DirectoryChange::Routes(routes) => {
+                    self.note_readable(true);
+                    reconfigure |= self.apply_routes(routes);
+                }
+                DirectoryChange::UnreadableRoutes => self.note_readable(false),
                 DirectoryChange::Upstream(name, Some(record)) => {
                     events.push(RegistryEvent::Written(name, record));
                 }
@@ -315,12 +331,26 @@
         let (revision, count) = (routes.revision, routes.len());
         let updated = lock(&self.routes).update(routes);
         if updated {
+            lock(&self.node.freshness).set_in_force(revision);
             gauge!("apricotrun_config_revision").set(revision.0 as f64);
             log::info!(revision = revision.0, routes = count; "config: in force");
         }
         updated
     }
 
+    /// Records whether the routes in the store can be read. While they cannot, the store's answers do
+    /// not show that the configuration in force is the latest one.
+    fn note_readable(&self, readable: bool) {
+        self.has_readable_routes.store(readable, Ordering::Relaxed);
+    }
+
+    /// Records that what the store answered to a call sent at `sent` is in force.
+    pub(super) fn record_answer(&self, sent: BootTime, era: StoreEra) {
+        if self.has_readable_routes.load(Ordering::Relaxed) {
+            lock(&self.node.freshness).record_answer(sent, era);
+        }
+    }
+
     /// Passes events to the upstream registry and returns whether anything changed for requests.
     pub(super) fn apply_registry_events(
         &self,
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -3,6 +3,7 @@
 use crate::coordination::flow::{FlowEvent, KvHandle, UpstreamFailure};
 use crate::prelude::*;
 use crate::state::routes::RouteKind;
+use crate::transport::gateway::accounts::CallerIdentity;
 use crate::transport::gateway::bodies::{BodyError, BodyReservation, MAX_BUFFERED_BYTES};
 use crate::transport::gateway::channels::{ConnectionPool, PooledConnection, UpstreamExchange};
 use crate::transport::gateway::dialect::{
@@ -37,6 +38,8 @@
     pub body: Bytes,
     /// The fields of the headers that the gateway acts on.
     pub head: InboundHead,
+    /// The client account of the caller; `None` if the route needs no key.
+    pub identity: Option<CallerIdentity>,
     /// The headers that are forwarded, without hop-by-hop and internal ones.
     pub headers: HeaderMap,
     /// The method, forwarded unchanged.
@@ -139,7 +142,8 @@
         let incarnation = self.gateway.check_upstream(now, &target.upstream)?;
         let timeout = target.deadline.saturating_duration_since(now);
         let dialect = &self.gateway.dialect;
-        let outbound = OutboundHead { timeout, step, upstream: &target.upstream };
+        let account = self.request.identity.as_ref().map(|identity| &identity.account.name);
+        let outbound = OutboundHead { account, timeout, step, upstream: &target.upstream };
         let mut headers = self.request.headers.clone();
         dialect.write_request(&outbound, &mut headers);
         let mut request = Request::new(Full::new(self.request.body.clone()));
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -186,6 +186,10 @@
             return text_response(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
+    let identity = match gateway.identify(&rule, &head.request_id, &parts.headers) {
+        Ok(identity) => identity,
+        Err(response) => return *response,
+    };
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(RESPONSE_MARGIN);
     let deadline = accepted + timeout.min(rule.timeout);
     let read = gateway.request_budget.read(body, routes.limits.max_body_bytes);
@@ -213,9 +217,13 @@
     let mut headers = parts.headers;
     drop_connection_headers(&mut headers);
     gateway.dialect.strip(&mut headers);
+    if routes.accounts.is_some() {
+        gateway.dialect.strip_account(&mut headers);
+    }
     let relayed = headers.remove(RELAYED).is_some();
     let (method, uri) = (parts.method, parts.uri);
-    let inbound = InboundRequest { body, head, headers, method, relayed, reservation, uri };
+    let inbound =
+        InboundRequest { body, head, headers, identity, method, relayed, reservation, uri };
     ForwardedRequest { accepted, deadline, gateway, guard, inbound, routes, rule }.serve().await
 }
 
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! workers. Everything else, above all the decisions, is shared with the product's own interface.
 //! See docs/PLATFORM.md.
 
+pub mod accounts;
 pub mod bodies;
 pub mod channels;
 pub mod dialect;
@@ -32,4 +33,4 @@
     DirectoryChange, DirectorySnapshot, DirectorySource, DirectoryUpdate, HostRegistration,
 };
 pub use roles::RoleClient;
-pub use start::{GatewaySettings, GatewaySetup, SettingsReader, run_gateway};
+pub use start::{AccountSettings, GatewaySettings, GatewaySetup, SettingsReader, run_gateway};
--- a/src/transport/gateway/relay.rs
+++ b/src/transport/gateway/relay.rs
@@ -71,6 +71,9 @@
             *request.method_mut() = inbound.method.clone();
             *request.uri_mut() = inbound.uri.clone();
             *request.headers_mut() = inbound.headers.clone();
+            if let Some(identity) = &inbound.identity {
+                self.dialect.write_key(&identity.key, request.headers_mut());
+            }
             request.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
             self.dialect.write_timeout(left, request.headers_mut());
             let key = (record.http, name);
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -165,9 +165,10 @@
 /// 413, 421, 429 and 503 say that a request has not run.
 pub fn status_of(refusal: &Refusal) -> StatusCode {
     match (refusal.verdict, refusal.reason) {
-        (Verdict::NotRun, RefusalReason::Overloaded | RefusalReason::AccountLimit) => {
-            StatusCode::TOO_MANY_REQUESTS
-        }
+        (
+            Verdict::NotRun,
+            RefusalReason::AccountLimit | RefusalReason::AllotmentSpent | RefusalReason::Overloaded,
+        ) => StatusCode::TOO_MANY_REQUESTS,
         (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -30,6 +30,8 @@
 /// The shortest time for which it is kept which software version began a stream. The operator may
 /// shorten a route's timeout while streams run.
 const MIN_ORIGIN_LIFETIME: Duration = Duration::from_secs(30);
+/// The part of its latency target for which a request waits for tokens of its account's allotment.
+const TOKEN_PATIENCE: f64 = 0.25;
 /// After how many latency targets a retryable call is tried at another upstream; slow responses
 /// take up to one and a half targets.
 const CALL_STALL_TARGETS: u32 = 3;
@@ -55,13 +57,26 @@
 /// Logs how a request ended and stops counting it as in flight.
 struct ResponseLog {
     accepted: Instant,
+    /// The account that the request was charged to, and its cost.
+    charged: Option<(AccountName, f64)>,
     _guard: InFlightGuard,
     request_id: String,
     node: Arc<DaemonNode>,
 }
 
 impl ResponseLog {
-    fn finish(self, outcome: ResponseOutcome) {
+    /// Gives the cost of the request back to its account.
+    fn refund(&mut self) {
+        if let Some((account, cost)) = self.charged.take() {
+            self.node.refund_tokens(&account, cost);
+        }
+    }
+
+    fn finish(mut self, outcome: ResponseOutcome) {
+        if matches!(outcome, ResponseOutcome::Refused(refusal) if refusal.verdict == Verdict::NotRun)
+        {
+            self.refund();
+        }
         let took = (self.node.clock.now() - self.accepted).as_millis() as u64;
         let kind = match outcome {
             ResponseOutcome::Complete => DecisionKind::Answered,
@@ -97,7 +112,7 @@
             match self.gateway.relay(&self.inbound, self.deadline).await {
                 // The request is refused below, unless a path has opened meanwhile.
                 RelayOutcome::NoHost => {}
-                outcome => return finish_relayed(outcome, self.into_log()),
+                outcome => return finish_relayed(outcome, self.into_log(None)),
             }
         }
         let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
@@ -116,7 +131,15 @@
         if let Some(refusal) = self.gateway.refuse_while_quiet(&service) {
             return refusal_response(&refusal);
         }
+        let charged = match self.charge().await {
+            Ok(charged) => charged,
+            Err(refusal) => {
+                self.into_log(None).finish(ResponseOutcome::Refused(refusal));
+                return refusal_response(&refusal);
+            }
+        };
         let Some(spec) = self.build_spec(&service, software) else {
+            self.into_log(charged).finish(ResponseOutcome::Refused(no_upstream));
             return refusal_response(&no_upstream);
         };
         self.log_accepted(&service, &spec);
@@ -127,7 +150,8 @@
         let executor = Arc::new(executor);
         let parts =
             start_request(&node, service, &request_id, spec, executor.clone(), Box::new(NoTrace));
-        let log = ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node };
+        let accepted = self.accepted;
+        let log = ResponseLog { accepted, charged, _guard: self.guard, request_id, node };
         wait_for_response(parts, &executor, log, self.deadline).await
     }
 
@@ -158,14 +182,29 @@
     fn refuse_unknown_origin(self) -> Response<ResponseBody> {
         counter!("apricotrun_unknown_origins_total").increment(1);
         let refusal = Refusal::not_run(RefusalReason::OriginUnknown);
-        self.into_log().finish(ResponseOutcome::Refused(refusal));
+        self.into_log(None).finish(ResponseOutcome::Refused(refusal));
         refusal_response(&refusal)
     }
 
-    fn into_log(self) -> ResponseLog {
+    fn into_log(self, charged: Option<(AccountName, f64)>) -> ResponseLog {
         let request_id = self.inbound.head.request_id;
         let node = self.gateway.node.clone();
-        ResponseLog { accepted: self.accepted, _guard: self.guard, request_id, node }
+        ResponseLog { accepted: self.accepted, charged, _guard: self.guard, request_id, node }
+    }
+
+    /// Takes the cost of the request from its account's allotment, and returns both.
+    async fn charge(&self) -> Result<Option<(AccountName, f64)>, Refusal> {
+        let Some(identity) = &self.inbound.identity else { return Ok(None) };
+        let cost = identity.cost_of(self.inbound.head.prompt.as_ref());
+        let patience = self.rule.latency_target.mul_f64(TOKEN_PATIENCE);
+        self.gateway.charge(identity, cost, patience).await?;
+        Ok(Some((identity.account.name.clone(), cost)))
+    }
+
+    /// Returns the account of the caller, or the one of all callers if the route needs no key.
+    fn account(&self) -> AccountName {
+        let identity = self.inbound.identity.as_ref();
+        identity.map_or(&self.gateway.account, |identity| &identity.account.name).clone()
     }
 
     fn build_spec(
@@ -198,7 +237,7 @@
         let crash_weight = lock(&node.crashes).weight(self.accepted, &fingerprint);
         let part_verdict = node.check_parts(self.accepted, parts);
         Some(RequestSpec {
-            account: self.gateway.account.clone(),
+            account: self.account(),
             avoid,
             expected_output,
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
@@ -235,7 +274,7 @@
 async fn wait_for_response(
     mut parts: Receiver<ResponsePart>,
     executor: &ForwardExecutor,
-    log: ResponseLog,
+    mut log: ResponseLog,
     deadline: Instant,
 ) -> Response<ResponseBody> {
     loop {
@@ -253,7 +292,11 @@
             Some(ResponsePart::Refused(refusal)) => {
                 return match executor.pass_on(&refusal, deadline).await {
                     RelayOutcome::NoHost => finish_refused(executor, log, refusal),
-                    outcome => finish_relayed(outcome, log),
+                    outcome => {
+                        // The other host charges the account too.
+                        log.refund();
+                        finish_relayed(outcome, log)
+                    }
                 };
             }
             None => return finish_refused(executor, log, request_task_lost()),
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -1,5 +1,6 @@
 //! Starts a gateway and stops it gracefully.
 
+use crate::coordination::allotments::AllotmentTolerance;
 use crate::coordination::membership::MemberEvent;
 use crate::coordination::registry::{RegistryEvent, UpstreamRegistry};
 use crate::coordination::retries::{RetryBudget, RetryLimits};
@@ -8,6 +9,7 @@
 use crate::protocol::codec::PeerKey;
 use crate::protocol::keyring::SharedKey;
 use crate::state::routes::{ActiveRoutes, CallerLimits};
+use crate::transport::allotments::tick_leases;
 use crate::transport::build::{NodeDependencies, build_node};
 use crate::transport::claims::send_summaries;
 use crate::transport::engine::UpstreamClient;
@@ -52,9 +54,25 @@
 /// The account of all callers in a deployment without accounts.
 const DEFAULT_ACCOUNT: &str = "callers";
 
+/// The part of the limit for revocation after which the configuration counts as too old. A watch of
+/// the store may miss changes for a second before the store says so.
+const STALE_FRACTION: f64 = 0.75;
+
+/// The settings of client accounts, for a deployment whose configuration lists any.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AccountSettings {
+    /// How soon after its withdrawal a key must not work any more, at hosts without a way to the store
+    /// too; `None` if hosts may go on with the configuration that they have.
+    pub revocation_limit: Option<Duration>,
+    /// By how much accounts may exceed their allotments.
+    pub tolerance: AllotmentTolerance,
+}
+
 /// The settings of a gateway daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
+    /// The settings of client accounts.
+    pub accounts: AccountSettings,
     /// The failure domain of this host.
     pub domain: DomainName,
     /// The address that callers connect to.
@@ -137,6 +155,8 @@
     /// The key that this daemon shares with all others.
     pub shared_key: Mutex<SharedKey>,
     first_start: bool,
+    /// Whether the routes in the store can be read.
+    pub(super) has_readable_routes: AtomicBool,
     retry_limits: Mutex<RetryLimits>,
     /// The number of configurations that shards have been given, used as their revision.
     pub(super) config_counter: AtomicU64,
@@ -301,16 +321,21 @@
     let register = || source.register(&settings.host, settings.peer, None);
     let registration = retry_until_ok("registering this host", register).await;
     log::info!(host:% = settings.host, life:% = registration.incarnation; "daemon: registered");
-    let snapshot = retry_until_ok("reading the configuration", || source.load()).await;
+    let clock = &state.clock;
+    let load = || async { Ok((clock.boot(), source.load().await?)) };
+    let (asked_at, snapshot) = retry_until_ok("reading the configuration", load).await;
     let seeds: Vec<_> = snapshot.hosts.values().copied().collect();
     let parts = NodeDependencies {
         cancels: Arc::new(ConnectionCancel),
         incarnation: Some(registration.incarnation),
         store,
+        tolerance: settings.accounts.tolerance,
         upstreams: Arc::new(UpstreamClient::new()?),
     };
     let peer_key = registration.key.key.clone();
     let node = Arc::new(build_node(node_settings(&settings, peer_key, seeds), parts).await?);
+    let stale_after = settings.accounts.revocation_limit.map(|limit| limit.mul_f64(STALE_FRACTION));
+    lock(&node.freshness).set_limit(stale_after);
     // Before other daemons are heard, as only an era later than this one means a return.
     node.handle_member_event(MemberEvent::Era(snapshot.seen.era));
     tokio::spawn(serve_links(node.clone(), peers));
@@ -318,6 +343,7 @@
     tokio::spawn(gossip::tick_members(node.clone()));
     tokio::spawn(tick_shards(node.clone()));
     tokio::spawn(send_summaries(node.clone()));
+    tokio::spawn(tick_leases(node.clone()));
     let paths = Arc::new(PathWatch::new(node.clock.clone()));
     let gateway = Arc::new(Gateway {
         account: DEFAULT_ACCOUNT.parse()?,
@@ -328,6 +354,7 @@
         relays: RelayBoard::default(),
         dialect,
         first_start: settings.first_start,
+        has_readable_routes: AtomicBool::new(true),
         propagation_limit: settings.propagation_limit,
         node,
         registration_due: Notify::new(),
@@ -342,6 +369,7 @@
     });
     let seen = snapshot.seen;
     gateway.apply_snapshot(snapshot);
+    gateway.record_answer(asked_at, seen.era);
     lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), true);
     if settings.first_start {
         lock(&gateway.node.versions).mark_first_start();
@@ -365,7 +393,8 @@
         let now = gateway.node.clock.now();
         let has_joined = gateway.has_joined(now);
         let has_routes = lock(&gateway.routes).current().is_some();
-        let ready = has_joined && has_routes && !lock(&gateway.registry).is_empty();
+        let ready =
+            has_joined && has_routes && !lock(&gateway.registry).is_empty() && gateway.is_fresh();
         if state.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!(ready; "daemon: readiness");
         }
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -6,7 +6,7 @@
 use crate::state::routes::{EngineSpec, RoutedService};
 use crate::transport::gateway::start::Gateway;
 use crate::transport::node::lock;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -43,14 +43,25 @@
             let now = self.node.clock.now();
             services.map(|(name, service)| build_template(now, name, service, &registry)).collect()
         };
-        let quota = AccountQuota { ceiling: 1.0, max_waiting: MAX_WAITING, share: 1.0 };
-        let account = AccountParameters {
-            account: self.account.clone(),
-            key_digest: String::new(),
-            services: routes.services.keys().map(|name| (name.clone(), quota)).collect(),
+        let parameters = |account: &AccountName, share: f64| {
+            let quota = AccountQuota { ceiling: 1.0, max_waiting: MAX_WAITING, share };
+            AccountParameters {
+                account: account.clone(),
+                key_digest: String::new(),
+                services: routes.services.keys().map(|name| (name.clone(), quota)).collect(),
+            }
         };
+        let mut accounts = vec![parameters(&self.account, 1.0)];
+        let mut limits = BTreeMap::new();
+        if let Some(directory) = &routes.accounts {
+            for account in directory.iter() {
+                accounts.push(parameters(&account.name, directory.share_of(account)));
+                limits.extend(account.allotment.map(|limit| (account.name.clone(), limit)));
+            }
+        }
+        self.node.set_allotments(limits);
         let revision = Revision(self.config_counter.fetch_add(1, Ordering::Relaxed) + 1);
-        let config = Arc::new(FleetConfig::from_parts(revision, [account], templates));
+        let config = Arc::new(FleetConfig::from_parts(revision, accounts, templates));
         lock(&self.node.config).adopt(self.node.clock.now(), config.clone());
         self.node.configure_shards(&config);
     }
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -32,6 +32,9 @@
         match decode_datagram(keys.accepted(), &buffer[..length]) {
             Ok(message) => {
                 counter!("apricotrun_gossip_bytes_received_total").increment(length as u64);
+                if let GossipMessage::Ack { nonce, freshness, .. } = &message {
+                    lock(&node.freshness).record_acknowledgement(*nonce, *freshness);
+                }
                 node.handle_member_event(MemberEvent::Received(from, message));
             }
             Err(error) => {
@@ -63,7 +66,7 @@
         let actions = lock(&self.members).handle(now, event);
         for action in actions {
             match action {
-                MemberAction::Send(to, message) => self.send_datagram(to, &message),
+                MemberAction::Send(to, message) => self.send_datagram(to, message),
                 // A fleet that starts at once reports hundreds of members within a moment, so their
                 // changes are applied together at the next tick.
                 MemberAction::Changed => self.members_changed.store(true, Ordering::Relaxed),
@@ -76,12 +79,21 @@
         }
     }
 
-    fn send_datagram(&self, to: SocketAddr, message: &GossipMessage) {
+    fn send_datagram(&self, to: SocketAddr, mut message: GossipMessage) {
         if lock(&self.blocked_peers).contains(&to) {
             return;
         }
+        match &mut message {
+            GossipMessage::Ack { freshness, .. } => {
+                *freshness = lock(&self.freshness).record(self.clock.boot());
+            }
+            GossipMessage::Ping { nonce, .. } => {
+                lock(&self.freshness).record_probe(self.clock.boot(), *nonce);
+            }
+            _ => {}
+        }
         let keys = lock(&self.peer_keys).clone();
-        match encode_datagram(keys.current(), message) {
+        match encode_datagram(keys.current(), &message) {
             Ok(bytes) => {
                 counter!("apricotrun_gossip_bytes_sent_total").increment(bytes.len() as u64);
                 // A datagram that cannot be sent counts as lost, which the probing tolerates.
--- a/src/transport/log_limiter.rs
+++ b/src/transport/log_limiter.rs
@@ -23,6 +23,8 @@
 pub enum DecisionKind {
     /// A request was accepted.
     Accepted,
+    /// The ledger of a client account has refused tokens.
+    Allotment,
     /// A complete response was sent to the caller.
     Answered,
     /// The caller disconnected before the end of the response.
@@ -44,9 +46,12 @@
 impl DecisionKind {
     fn lines(self) -> u32 {
         match self {
-            Self::Accepted | Self::Answered | Self::FirstToken | Self::Granted | Self::Members => {
-                ROUTINE_LINES
-            }
+            Self::Accepted
+            | Self::Allotment
+            | Self::Answered
+            | Self::FirstToken
+            | Self::Granted
+            | Self::Members => ROUTINE_LINES,
             Self::CallerLeft | Self::Lost | Self::Refused | Self::Unserved => FAILURE_LINES,
         }
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets, HTTP and timers. This layer passes events to the state machines in
 //! [`crate::coordination`] and executes the actions that they return; it makes no decisions itself.
 
+pub mod allotments;
 pub mod build;
 pub mod claims;
 pub mod client;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,13 +1,15 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
 //! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `limits`,
-//! `flows`, `origins`, `versions`, `origin_lookups`, `blocked_peers`, `peer_keys`.
+//! `flows`, `origins`, `versions`, `origin_lookups`, `allotments`, `freshness`, `blocked_peers`,
+//! `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
 
 use crate::coordination::config::ConfigReplica;
 use crate::coordination::crashes::CrashLedger;
 use crate::coordination::flow::FlowEvent;
+use crate::coordination::freshness::FreshnessMonitor;
 use crate::coordination::membership::MemberTable;
 use crate::coordination::messages::{
     MemberRecord, MemberState, PeerMessage, ReleaseOutcome, ShardMessage,
@@ -20,6 +22,7 @@
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
+use crate::transport::allotments::AllotmentDesk;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::links::PeerLinks;
 use crate::transport::log_limiter::LogLimiter;
@@ -47,6 +50,10 @@
 pub struct DaemonNode {
     /// The peer addresses whose traffic is dropped, for tests that cut the network.
     pub blocked_peers: Mutex<BTreeSet<SocketAddr>>,
+    /// The tokens of client accounts that this daemon has leased or leases to others.
+    pub allotments: AllotmentDesk,
+    /// Whether the configuration is recent enough for callers' keys.
+    pub freshness: Mutex<FreshnessMonitor>,
     /// The slot claims of this entry's attempts.
     pub claims: Mutex<ClaimTable>,
     /// The source of time for all timed components.
@@ -233,6 +240,9 @@
     /// Handles a message from a daemon.
     pub fn handle_message(self: &Arc<Self>, from: DaemonId, message: PeerMessage) {
         match message {
+            PeerMessage::Allotment { account, message } => {
+                self.handle_allotment(&from, account, message);
+            }
             PeerMessage::Shard { service, domain, message } => {
                 self.route_shard_message(from, service, domain, message);
             }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -13,6 +13,7 @@
         weight: *weight,
     };
     RouteRule {
+        open_to_all: false,
         inter_event_target: None,
         kind: RouteKind::Idempotent,
         latency_target: Duration::from_millis(150),
