Plain calls go where they are expected to be complete first

Cause: each of 79 hosts counts only the calls that it has sent itself, nearly always none, so calls stay at the upstream of the own failure domain while the others idle, also while its machine is two and a half times slower than usual.

Reports of upstreams that name the speed of their machine are kept, fade, and travel with the probes between hosts; leaving the failure domain costs what the setting remote_cost_ms says. Upstreams that name no speed are used as before.

Ruled out: believing a speed of a fifth of the usual time; an upstream that failed all calls and said so still got all of them (failing_upstream_with_an_idle_report_is_avoided).

--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -246,15 +246,22 @@
         out: &mut Vec<MemberAction>,
     ) {
         match message {
-            GossipMessage::Ping { nonce, crashes, era, revision, updates } => {
+            GossipMessage::Ping { nonce, crashes, era, revision, updates, .. } => {
                 self.merge_all(now, updates, out);
                 self.check_crashes(from, crashes, out);
                 self.check_era(era, out);
                 self.check_revision(from, revision, out);
                 let updates = self.collect_updates();
                 let (crashes, era, revision) = (self.crashes, self.era, self.revision);
-                let ack =
-                    GossipMessage::Ack { nonce, freshness: None, crashes, era, revision, updates };
+                let ack = GossipMessage::Ack {
+                    nonce,
+                    freshness: None,
+                    news: Vec::new(),
+                    crashes,
+                    era,
+                    revision,
+                    updates,
+                };
                 out.push(MemberAction::Send(from, ack));
             }
             GossipMessage::Ack { nonce, crashes, era, revision, updates, .. } => {
@@ -319,8 +326,15 @@
             let (nonce, revision) = (relay.nonce, Revision(0));
             let (crashes, era) = (self.crashes, self.era);
             let updates = Vec::new();
-            let ack =
-                GossipMessage::Ack { nonce, freshness: None, crashes, era, revision, updates };
+            let ack = GossipMessage::Ack {
+                nonce,
+                freshness: None,
+                news: Vec::new(),
+                crashes,
+                era,
+                revision,
+                updates,
+            };
             out.push(MemberAction::Send(relay.requester, ack));
         }
     }
@@ -398,7 +412,8 @@
 
     fn ping(&mut self, nonce: u64) -> GossipMessage {
         let (crashes, era, revision) = (self.crashes, self.era, self.revision);
-        GossipMessage::Ping { nonce, crashes, era, revision, updates: self.collect_updates() }
+        let updates = self.collect_updates();
+        GossipMessage::Ping { nonce, news: Vec::new(), crashes, era, revision, updates }
     }
 
     /// Sends a record directly to the members of its failure domain. Other members learn it from
--- a/src/coordination/membership/probing.rs
+++ b/src/coordination/membership/probing.rs
@@ -150,11 +150,11 @@
     pub(super) fn attach_record(&self, ping: GossipMessage, target: &HostName) -> GossipMessage {
         let record = &self.members[target].record;
         match ping {
-            GossipMessage::Ping { nonce, crashes, era, revision, mut updates }
+            GossipMessage::Ping { nonce, news, crashes, era, revision, mut updates }
                 if record.state != MemberState::Alive && !updates.contains(record) =>
             {
                 updates.push(record.clone());
-                GossipMessage::Ping { nonce, crashes, era, revision, updates }
+                GossipMessage::Ping { nonce, news, crashes, era, revision, updates }
             }
             other => other,
         }
@@ -214,7 +214,7 @@
         let nonce = self.rng.random();
         let (crashes, era, revision) = (self.crashes, self.era, self.revision);
         let updates = vec![self.me.clone(), record.clone()];
-        let ping = GossipMessage::Ping { nonce, crashes, era, revision, updates };
+        let ping = GossipMessage::Ping { nonce, news: Vec::new(), crashes, era, revision, updates };
         out.push(MemberAction::Send(record.peer, ping));
     }
 
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::coordination::allotments::AllotmentMessage;
 use crate::coordination::freshness::FreshnessRecord;
-use crate::coordination::shard::RequestStats;
+use crate::coordination::shard::{RequestStats, UpstreamNews};
 use crate::coordination::store::StoreEra;
 use crate::prelude::*;
 use crate::state::fleet::{DocumentName, StoredDocument};
@@ -207,6 +207,8 @@
     Ping {
         /// A number that the [`GossipMessage::Ack`] repeats.
         nonce: u64,
+        /// What the sender knows of the load of upstreams.
+        news: Vec<UpstreamNews>,
         /// What the sender refuses because it crashes upstreams.
         crashes: CrashDigest,
         /// The latest era of the platform's store that the sender knows of.
@@ -222,6 +224,8 @@
         nonce: u64,
         /// How recent the sender's configuration is, if keys depend on that.
         freshness: Option<FreshnessRecord>,
+        /// What the sender knows of the load of upstreams.
+        news: Vec<UpstreamNews>,
         /// What the sender refuses because it crashes upstreams.
         crashes: CrashDigest,
         /// The latest era of the platform's store that the sender knows of.
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -9,7 +9,7 @@
 use crate::coordination::messages::{ShardMessage, SlotClaim};
 use crate::coordination::roles::RequestShape;
 use crate::coordination::shard::estimate::{LoadEstimate, RequestStats};
-use crate::coordination::shard::pool::{GrowthRate, WorkerPool};
+use crate::coordination::shard::pool::{GrowthRate, UpstreamNews, WorkerPool};
 use crate::coordination::shard::prefixes::PrefixIndex;
 use crate::coordination::shard::queue::FairQueue;
 use crate::coordination::shard::recovery::OwnerRecovery;
@@ -79,6 +79,12 @@
             ShardEvent::Message(from, message) => {
                 self.handle_message(now, from, message, &mut actions);
             }
+            ShardEvent::Reported(name, incarnation, report, took) => {
+                self.pool.record_report(now, &name, incarnation, report, took);
+            }
+            ShardEvent::News(news) => {
+                news.iter().for_each(|record| self.pool.record_news(now, record));
+            }
             ShardEvent::Tick => {
                 self.retry_schedule.prune(now);
                 self.refusals.prune(now);
@@ -133,6 +139,11 @@
         self.estimate.request_stats(held.map(|held| now.saturating_duration_since(held.since)))
     }
 
+    /// Returns what to tell other daemons of the upstreams that report their load.
+    pub fn news(&self, now: Instant) -> Vec<UpstreamNews> {
+        self.pool.news(now)
+    }
+
     /// Returns this daemon's role in the shard.
     pub fn role(&self) -> ShardRole {
         self.role
@@ -165,6 +176,7 @@
         let growth_rate = token_time
             .map(|time| GrowthRate { block_tokens: template.block_tokens, token_time: time });
         self.pool.configure(domain, growth_rate, specs);
+        self.pool.set_remote_cost(template.remote_cost);
         self.template = Some(template);
         self.quotas = quotas;
         let accounts: Vec<_> = self.quotas.keys().cloned().collect();
--- a/src/coordination/shard/ledger/events.rs
+++ b/src/coordination/shard/ledger/events.rs
@@ -1,6 +1,7 @@
 //! Inputs, outputs and status report of a shard's ledger.
 
 use crate::coordination::messages::ShardMessage;
+use crate::coordination::shard::pool::{LoadReport, UpstreamNews};
 use crate::prelude::*;
 use crate::state::fleet::AccountQuota;
 use serde::Serialize;
@@ -27,6 +28,11 @@
     CancelConfirmed(AttemptId, UpstreamName),
     /// The service template or the accounts' quotas changed.
     Configure(Arc<ServiceTemplate>, BTreeMap<AccountName, AccountQuota>),
+    /// A response of an upstream of this incarnation has said how loaded it is. The time is what a
+    /// complete call took.
+    Reported(UpstreamName, Incarnation, LoadReport, Option<Duration>),
+    /// Another daemon has said how loaded upstreams are.
+    News(Vec<UpstreamNews>),
     /// A message arrived from the daemon, which may be this one.
     Message(DaemonId, ShardMessage),
     /// The set of live daemons changed, and possibly this daemon's role.
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -19,3 +19,4 @@
 pub use forecast::{RunForecast, peak};
 pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
 pub use lifetimes::LifeTable;
+pub use pool::{LoadReport, MAX_NEWS, SlownessPercent, UpstreamNews};
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -2,12 +2,14 @@
 
 mod health;
 mod memory;
+mod picture;
 mod placement;
 
 pub use memory::{GrowthRate, MemoryNeed, RunProgress};
+pub use picture::{LoadReport, MAX_NEWS, SlownessPercent, UpstreamNews, UpstreamPicture};
 
 use crate::coordination::messages::{AdmissionRequest, ClaimPhase, GrantMessage, SlotClaim};
-use crate::coordination::shard::estimate::UsableSlots;
+use crate::coordination::shard::estimate::{MeanDuration, UsableSlots};
 use crate::prelude::*;
 use health::WorkerHealth;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,6 +49,8 @@
     kv_blocks: u32,
     /// Whether the worker has said in a response that it is about to stop.
     leaving: bool,
+    /// What it reports of its load; `None` if it reports nothing.
+    picture: Option<UpstreamPicture>,
     /// The end of the current backoff.
     backoff_until: Option<Instant>,
     slots: u32,
@@ -65,6 +69,7 @@
             health: WorkerHealth::default(),
             kv_blocks: 0,
             leaving: false,
+            picture: None,
             backoff_until: None,
             slots: 0,
             spec,
@@ -123,6 +128,11 @@
     /// The rate at which runs fill memory; `None` if each is charged for its full size from the
     /// start.
     growth_rate: Option<GrowthRate>,
+    /// How much longer a call may wait before it leaves the failure domain; `None` to place calls
+    /// by load alone.
+    remote_cost: Option<Duration>,
+    /// The time that a call takes on a machine of usual speed.
+    service_time: MeanDuration,
     workers: BTreeMap<UpstreamName, PoolWorker>,
 }
 
@@ -150,6 +160,11 @@
         self.recount();
     }
 
+    /// Sets how much longer a call may wait before it leaves the failure domain.
+    pub fn set_remote_cost(&mut self, cost: Option<Duration>) {
+        self.remote_cost = cost;
+    }
+
     /// Returns the claim of an attempt.
     pub fn claim(&self, attempt: &AttemptId) -> Option<&HeldClaim> {
         self.claims.get(attempt)
@@ -181,6 +196,9 @@
         let begun = begins.then_some(RunProgress { at: now, tokens: Tokens(0) });
         let progress = old.and_then(|old| old.progress).or(begun);
         self.adjust_counts(&claim, true);
+        let picture =
+            self.workers.get_mut(&claim.runner).and_then(|worker| worker.picture.as_mut());
+        picture.into_iter().for_each(UpstreamPicture::record_sent);
         let held = HeldClaim { claim, since, progress, cancelling: None };
         self.claims.insert(held.claim.attempt.clone(), held);
     }
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -92,6 +92,13 @@
         request: &AdmissionRequest,
     ) -> Option<&'a PoolWorker> {
         let baseline = self.mean_failure_rate(now, self.runners());
+        if let Some(mean) = self.mean_picture(now) {
+            return candidates.min_by_key(|worker| {
+                let others = if request.suspect { worker.slots } else { 0 };
+                let name = &worker.spec.name;
+                (others, self.expected_completion(now, name, &request.attempt, &mean))
+            });
+        }
         // A suspect request goes where it endangers the fewest other runs. All others prefer, in
         // this order, workers that do not fail, have few transfers and have a low load.
         candidates.min_by_key(|worker| {
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -191,6 +191,11 @@
     /// fewer of them than failure domains.
     #[serde(default)]
     pub shared_prefill: bool,
+    /// How much longer a plain call may wait before it leaves the failure domain, in milliseconds. When
+    /// given, calls go where they are expected to be complete first, if upstreams report their load.
+    #[serde(default, rename = "remote_cost_ms")]
+    #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
+    pub remote_cost: Option<Duration>,
     /// The number of tokens in one KV-cache block.
     #[serde(default = "default_block_tokens", rename = "piece_tokens")]
     pub block_tokens: Tokens,
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -1,5 +1,6 @@
 //! The interface between the gateway and a deployment's HTTP headers.
 
+use crate::coordination::shard::LoadReport;
 use crate::prelude::*;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
@@ -104,6 +105,8 @@
     pub kind: ResponseKind,
     /// How many requests the upstream takes from all daemons together, if it limits them.
     pub limit: Option<RequestRate>,
+    /// How loaded and how fast the upstream is, if it says so.
+    pub load: Option<LoadReport>,
     /// Whether the upstream says that it is about to stop.
     pub leaving: bool,
     /// How long the upstream, which has refused the request, takes none from this daemon.
--- a/src/transport/gateway/notices.rs
+++ b/src/transport/gateway/notices.rs
@@ -4,6 +4,7 @@
 use crate::coordination::messages::ShardMessage;
 use crate::coordination::notices::UpstreamNotice;
 use crate::coordination::registry::RegistryEvent;
+use crate::coordination::shard::{LoadReport, ShardEvent};
 use crate::prelude::*;
 use crate::transport::gateway::dialect::{ResponseHead, ResponseKind};
 use crate::transport::gateway::start::Gateway;
@@ -59,6 +60,9 @@
             return;
         }
         self.node.record_limit(sent, name, incarnation, head.limit);
+        if let Some(report) = head.load {
+            self.record_load(sent, name, incarnation, report, head.kind);
+        }
         let noticed = |notice| RegistryEvent::Noticed(name.clone(), incarnation, notice);
         if let Some(time) = head.quiet {
             counter!("apricotrun_quiet_notices_total").increment(1);
@@ -71,6 +75,26 @@
         }
     }
 
+    /// Records how loaded a plain upstream says it is. This daemon places calls to it by itself.
+    fn record_load(
+        self: &Arc<Self>,
+        sent: Instant,
+        name: &UpstreamName,
+        incarnation: Incarnation,
+        report: LoadReport,
+        kind: ResponseKind,
+    ) {
+        let service = lock(&self.registry).service_of(name);
+        let Some(service) = service else { return };
+        if self.remote_cost.is_none() || self.node.placement_of(&service) != PlacementScope::Entry {
+            return;
+        }
+        let took = self.node.clock.now().saturating_duration_since(sent);
+        let took = (kind == ResponseKind::Matching).then_some(took);
+        let event = ShardEvent::Reported(name.clone(), incarnation, report, took);
+        self.node.handle_shard_event(&service, event);
+    }
+
     /// Tells the owners that may grant an upstream, and their backups, that it is about to stop.
     /// Prefill workers are shared by all failure domains.
     fn announce_leaving(self: &Arc<Self>, name: &UpstreamName, incarnation: Incarnation) {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -92,6 +92,9 @@
     pub peer: SocketAddr,
     /// The address that the load balancer probes for readiness.
     pub readiness: SocketAddr,
+    /// How much longer a plain call may wait before it leaves the failure domain; absent if calls are
+    /// placed by load alone.
+    pub remote_cost: Option<Duration>,
     /// The fleet's retry budget for each service.
     pub retries: RetryLimits,
     /// The address of the platform's store.
@@ -134,6 +137,8 @@
     pub propagation_limit: Duration,
     /// The daemon's state outside the gateway: members, shards and configuration.
     pub node: Arc<DaemonNode>,
+    /// How much longer a plain call may wait before it leaves the failure domain.
+    pub(super) remote_cost: Option<Duration>,
     /// Whether this host reaches upstreams.
     pub paths: Arc<PathWatch>,
     /// The connections to other hosts that requests are passed on to.
@@ -356,6 +361,7 @@
         first_start: settings.first_start,
         has_readable_routes: AtomicBool::new(true),
         propagation_limit: settings.propagation_limit,
+        remote_cost: settings.remote_cost,
         node,
         registration_due: Notify::new(),
         registry: Mutex::new(UpstreamRegistry::default()),
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -41,7 +41,11 @@
             let registry = lock(&self.registry);
             let services = routes.services.iter();
             let now = self.node.clock.now();
-            services.map(|(name, service)| build_template(now, name, service, &registry)).collect()
+            let build = |(name, service)| {
+                let template = build_template(now, name, service, &registry);
+                ServiceTemplate { remote_cost: self.remote_cost, ..template }
+            };
+            services.map(build).collect()
         };
         let parameters = |account: &AccountName, share: f64| {
             let quota = AccountQuota { ceiling: 1.0, max_waiting: MAX_WAITING, share };
@@ -102,6 +106,7 @@
         block_tokens: BLOCK_TOKENS,
         placement: if engine.is_some() { PlacementScope::Domain } else { PlacementScope::Entry },
         prefill_tokens_per_second: rate(|_| PREFILL_RATE),
+        remote_cost: None,
         retry_window: Duration::ZERO,
         service: name.clone(),
         shared_prefill: true,
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::membership::{MemberAction, MemberEvent};
 use crate::coordination::messages::{GossipMessage, MemberRecord, MemberState};
+use crate::coordination::shard::{MAX_NEWS, ShardEvent, UpstreamNews};
 use crate::prelude::*;
 use crate::protocol::codec::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 use crate::transport::log_limiter::DecisionKind;
@@ -35,6 +36,7 @@
                 if let GossipMessage::Ack { nonce, freshness, .. } = &message {
                     lock(&node.freshness).record_acknowledgement(*nonce, *freshness);
                 }
+                node.apply_news(&message);
                 node.handle_member_event(MemberEvent::Received(from, message));
             }
             Err(error) => {
@@ -84,11 +86,13 @@
             return;
         }
         match &mut message {
-            GossipMessage::Ack { freshness, .. } => {
+            GossipMessage::Ack { freshness, news, .. } => {
                 *freshness = lock(&self.freshness).record(self.clock.boot());
+                *news = self.collect_news();
             }
-            GossipMessage::Ping { nonce, .. } => {
+            GossipMessage::Ping { nonce, news, .. } => {
                 lock(&self.freshness).record_probe(self.clock.boot(), *nonce);
+                *news = self.collect_news();
             }
             _ => {}
         }
@@ -103,6 +107,28 @@
         }
     }
 
+    /// Returns what this daemon tells others of the load of upstreams.
+    fn collect_news(&self) -> Vec<UpstreamNews> {
+        let now = self.clock.now();
+        let shards = lock(&self.shards);
+        let mut news: Vec<_> = shards.values().flat_map(|ledger| ledger.news(now)).collect();
+        news.truncate(MAX_NEWS);
+        news
+    }
+
+    fn apply_news(self: &Arc<Self>, message: &GossipMessage) {
+        let (GossipMessage::Ping { news, .. } | GossipMessage::Ack { news, .. }) = message else {
+            return;
+        };
+        if news.is_empty() {
+            return;
+        }
+        let services: Vec<_> = lock(&self.shards).keys().cloned().collect();
+        for service in services {
+            self.handle_shard_event(&service, ShardEvent::News(news.clone()));
+        }
+    }
+
     fn apply_member_changes(self: &Arc<Self>) {
         if self.log_limiter.permits(DecisionKind::Members) {
             self.log_members();
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -106,6 +106,7 @@
     let updates = vec![member_record(); updates];
     let ping = GossipMessage::Ping {
         crashes: CrashDigest(u64::MAX),
+        news: Vec::new(),
         nonce: u64::MAX,
         era: StoreEra(9),
         revision: Revision(281_050),
--- a/standins/src/fixtures.rs
+++ b/standins/src/fixtures.rs
@@ -37,6 +37,7 @@
         block_tokens: Tokens(2_000),
         placement: PlacementScope::default(),
         prefill_tokens_per_second: TokenRate(10_000.0),
+        remote_cost: None,
         retry_window: Duration::from_secs(600),
         service: service.parse().expect("a valid name"),
         shared_prefill: false,
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod lengths;
+mod picture;
 
 use apricotrun::coordination::claims::digest_claims;
 use apricotrun::coordination::messages::{
