--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -18,6 +18,7 @@
 
 fn ping() -> GossipMessage {
     GossipMessage::Ping {
+        news: Vec::new(),
         nonce: 5,
         crashes: CrashDigest(7),
         era: StoreEra(1),
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -163,6 +163,7 @@
     let now = Instant::now();
     let mut table = MemberTable::new(now, record(0, 1, 1), Vec::new(), 1);
     let ping = |era| GossipMessage::Ping {
+        news: Vec::new(),
         crashes: CrashDigest::default(),
         nonce: 1,
         era: StoreEra(era),
