Urgent requests go first where callers compete for too little room

Cause: priorities were read and used by nothing. The queue goes by the latest start, and the less urgent kind may wait longer.

Ruled out: a strict order, which starves the other kind.

--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -81,6 +81,8 @@
     pub stall_limit: Option<Duration>,
     /// The number of tokens in one [`FlowEvent::Token`].
     pub tokens_per_index: u32,
+    /// How urgent the request is.
+    pub urgency: UrgencyRank,
 }
 
 /// Limits how often requests are sent to further upstreams after their first, so that retries do
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -329,6 +329,7 @@
             returning: self.spec.returning,
             software: self.software.clone(),
             suspect: self.suspect,
+            urgency: self.spec.urgency,
             waited: now.saturating_duration_since(self.started),
         };
         out.push(FlowAction::Send(
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -76,6 +76,8 @@
     pub suspect: bool,
     /// The only software version that may run the request, as it began the stream.
     pub software: Option<SoftwareVersion>,
+    /// How urgent the request is.
+    pub urgency: UrgencyRank,
     /// The time since the entry daemon accepted the request, across all owners.
     pub waited: Duration,
 }
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -163,9 +163,7 @@
             true => 1.0,
             false => self.retry_schedule.unreserved_fraction(now, account),
         };
-        let late = waiting.request.is_late();
-        let ahead =
-            self.queue.requests_ahead(account, waiting.request.returning, late) as f64 + 1.0;
+        let ahead = self.queue.requests_ahead(waiting) as f64 + 1.0;
         let wait = ahead / (rate * unreserved).max(0.001);
         let queue_timeout = waiting.latest_start.saturating_duration_since(now);
         if wait <= queue_timeout.as_secs_f64() {
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -8,6 +8,8 @@
 
 /// Converts the ratio of held slots to share into an integer that can be ordered.
 const USAGE_SCALE: f64 = 1_000_000.0;
+/// By how much a request goes later for each rank that it is less urgent.
+const URGENCY_STEP: Duration = Duration::from_secs(1);
 /// The share used for an account that has none; it runs only when no other account waits.
 pub const MIN_SHARE: f64 = 0.000_001;
 
@@ -30,7 +32,8 @@
     /// Whether the request does not resume an earlier attempt, and whether it is not a retry at a
     /// reserved time; `false` goes first.
     precedence: (bool, bool),
-    latest_start: Instant,
+    /// The latest start, later by [`URGENCY_STEP`] for each rank of urgency.
+    order: Instant,
     /// Breaks ties in the order of arrival.
     sequence: u64,
 }
@@ -41,6 +44,11 @@
     }
 }
 
+/// Returns the time by which requests of one account are ordered.
+fn order_of(latest_start: Instant, urgency: UrgencyRank) -> Instant {
+    latest_start + URGENCY_STEP * u32::from(urgency.0)
+}
+
 #[derive(Debug, Default)]
 struct AccountQueue {
     /// The number of waiting requests that resume an earlier attempt or are retried at a reserved
@@ -49,6 +57,8 @@
     held: u32,
     /// The number of waiting requests that have missed their first-token target.
     late: usize,
+    /// The number of waiting requests that are not of the most urgent rank.
+    less_urgent: usize,
     share: f64,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
 }
@@ -79,7 +89,7 @@
         let key = QueueKey {
             late: waiting.request.is_late(),
             precedence: (!waiting.request.resuming, !waiting.request.returning),
-            latest_start: waiting.latest_start,
+            order: order_of(waiting.latest_start, waiting.request.urgency),
             sequence: self.sequence,
         };
         let name = waiting.request.account.clone();
@@ -90,6 +100,7 @@
             queue.share = quota.share;
             queue.prioritized += usize::from(key.is_prioritized());
             queue.late += usize::from(key.late);
+            queue.less_urgent += usize::from(waiting.request.urgency > UrgencyRank::default());
             queue.waiting.insert(key, waiting);
         });
     }
@@ -102,6 +113,8 @@
             removed = queue.waiting.remove(&key);
             queue.prioritized -= usize::from(removed.is_some() && key.is_prioritized());
             queue.late -= usize::from(removed.is_some() && key.late);
+            let urgency = removed.as_ref().map(|waiting| waiting.request.urgency);
+            queue.less_urgent -= usize::from(urgency > Some(UrgencyRank::default()));
         });
         if let Some(waiting) = &removed {
             self.expiry.remove(&(waiting.latest_start, attempt.clone()));
@@ -181,15 +194,21 @@
     }
 
     /// Returns how many waiting requests of an account would be served before a new one.
-    /// `returning` says whether the new one is a retry at a reserved time, `late` whether it has
-    /// missed its first-token target.
-    pub fn requests_ahead(&self, name: &AccountName, returning: bool, late: bool) -> usize {
-        let Some(queue) = self.accounts.get(name) else { return 0 };
-        match (returning, late) {
+    pub fn requests_ahead(&self, new: &WaitingRequest) -> usize {
+        let Some(queue) = self.accounts.get(&new.request.account) else { return 0 };
+        let ahead = match (new.request.returning, new.request.is_late()) {
             (true, _) => queue.prioritized,
             (false, true) => queue.waiting.len(),
             (false, false) => queue.waiting.len() - queue.late,
+        };
+        if new.request.urgency == UrgencyRank::LEAST || queue.less_urgent == 0 {
+            return ahead;
         }
+        let order = order_of(new.latest_start, new.request.urgency);
+        let behind = queue.waiting.iter().filter(|(key, waiting)| {
+            waiting.request.urgency > new.request.urgency && !key.late && key.order > order
+        });
+        ahead.saturating_sub(behind.count())
     }
 
     /// Returns the accounts with waiting requests, furthest below its share first.
--- a/src/state/units.rs
+++ b/src/state/units.rs
@@ -49,6 +49,35 @@
     }
 }
 
+/// How urgent a request is; 0 is the most urgent. See docs/design/urgency.md.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct UrgencyRank(pub u8);
+
+impl UrgencyRank {
+    /// The least urgent rank.
+    pub const LEAST: Self = Self(9);
+
+    /// Returns the rank of a configured priority; all from 9 on are the same.
+    pub fn from_priority(priority: u32) -> Self {
+        Self(priority.min(u32::from(Self::LEAST.0)) as u8)
+    }
+}
+
+impl fmt::Display for UrgencyRank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for UrgencyRank {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim().parse().map(Self::from_priority)
+    }
+}
+
 /// A processing rate in tokens per second.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -81,6 +81,8 @@
     pub step: UpstreamStep<'a>,
     /// The upstream that is addressed; another one at the same address must decline the request.
     pub upstream: &'a UpstreamName,
+    /// How urgent the request is, if upstreams are told.
+    pub urgency: Option<UrgencyRank>,
 }
 
 /// How an upstream's response relates to the request.
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -82,6 +82,8 @@
     response: Mutex<Option<UpstreamResponse>>,
     request: InboundRequest,
     service: ServiceName,
+    /// What upstreams are told of the request's urgency.
+    urgency: Option<UrgencyRank>,
 }
 
 impl ForwardExecutor {
@@ -91,6 +93,7 @@
         kind: RouteKind,
         service: ServiceName,
         request: InboundRequest,
+        urgency: Option<UrgencyRank>,
     ) -> Self {
         Self {
             gateway,
@@ -99,6 +102,7 @@
             response: Mutex::new(None),
             request,
             service,
+            urgency,
         }
     }
 
@@ -143,7 +147,8 @@
         let timeout = target.deadline.saturating_duration_since(now);
         let dialect = &self.gateway.dialect;
         let account = self.request.identity.as_ref().map(|identity| &identity.account.name);
-        let outbound = OutboundHead { account, timeout, step, upstream: &target.upstream };
+        let (urgency, upstream) = (self.urgency, &target.upstream);
+        let outbound = OutboundHead { account, timeout, step, upstream, urgency };
         let mut headers = self.request.headers.clone();
         dialect.write_request(&outbound, &mut headers);
         let mut request = Request::new(Full::new(self.request.body.clone()));
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -145,8 +145,14 @@
         self.log_accepted(&service, &spec);
         let request_id = self.inbound.head.request_id.clone();
         let node = self.gateway.node.clone();
-        let executor =
-            ForwardExecutor::new(self.gateway, self.rule.kind, service.clone(), self.inbound);
+        let urgency = self.urgency();
+        let executor = ForwardExecutor::new(
+            self.gateway,
+            self.rule.kind,
+            service.clone(),
+            self.inbound,
+            urgency,
+        );
         let executor = Arc::new(executor);
         let parts =
             start_request(&node, service, &request_id, spec, executor.clone(), Box::new(NoTrace));
@@ -201,6 +207,14 @@
         Ok(Some((identity.account.name.clone(), cost)))
     }
 
+    /// Returns how urgent the request is, if the deployment tells requests apart by that: the account's
+    /// priority goes before the route's.
+    fn urgency(&self) -> Option<UrgencyRank> {
+        let account = self.inbound.identity.as_ref().and_then(|caller| caller.account.priority);
+        let priority = account.unwrap_or(self.rule.priority);
+        self.gateway.uses_urgency.then(|| UrgencyRank::from_priority(priority))
+    }
+
     /// Returns the account of the caller, or the one of all callers if the route needs no key.
     fn account(&self) -> AccountName {
         let identity = self.inbound.identity.as_ref();
@@ -265,6 +279,7 @@
             max_runs: self.rule.max_runs,
             software,
             stall_limit: stall_limit(&self.rule),
+            urgency: self.urgency().unwrap_or_default(),
             tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
         })
     }
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -99,6 +99,8 @@
     pub retries: RetryLimits,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// Whether more urgent requests go first, by the priorities of routes and accounts.
+    pub uses_urgency: bool,
 }
 
 /// Reads and checks the settings file.
@@ -139,6 +141,8 @@
     pub node: Arc<DaemonNode>,
     /// How much longer a plain call may wait before it leaves the failure domain.
     pub(super) remote_cost: Option<Duration>,
+    /// Whether more urgent requests go first, by the priorities of routes and accounts.
+    pub(super) uses_urgency: bool,
     /// Whether this host reaches upstreams.
     pub paths: Arc<PathWatch>,
     /// The connections to other hosts that requests are passed on to.
@@ -362,6 +366,7 @@
         has_readable_routes: AtomicBool::new(true),
         propagation_limit: settings.propagation_limit,
         remote_cost: settings.remote_cost,
+        uses_urgency: settings.uses_urgency,
         node,
         registration_due: Notify::new(),
         registry: Mutex::new(UpstreamRegistry::default()),
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -278,6 +278,7 @@
         max_runs: u32::MAX,
         software: None,
         stall_limit: None,
+        urgency: UrgencyRank::default(),
         tokens_per_index: 1,
     }
 }
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -253,6 +253,7 @@
         max_runs: u32::MAX,
         software: None,
         stall_limit: None,
+        urgency: UrgencyRank::default(),
         tokens_per_index: 1,
     }
 }
--- a/standins/src/bin/capacity/bytes.rs
+++ b/standins/src/bin/capacity/bytes.rs
@@ -69,6 +69,7 @@
         returning: false,
         suspect: false,
         software: None,
+        urgency: UrgencyRank::default(),
         waited: Duration::ZERO,
     }
 }
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -297,6 +297,7 @@
             max_runs: u32::MAX,
             software: None,
             stall_limit: None,
+            urgency: UrgencyRank::default(),
             tokens_per_index: 1,
         }
     }
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -60,6 +60,7 @@
             max_runs: u32::MAX,
             software: None,
             stall_limit: None,
+            urgency: UrgencyRank::default(),
             tokens_per_index: 1,
         };
         change(&mut spec);
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -84,6 +84,7 @@
             returning: false,
             suspect: false,
             software: None,
+            urgency: UrgencyRank::default(),
             waited: Duration::ZERO,
         };
         let actions = self.deliver(ShardMessage::RequestAdmission(admission));
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -216,6 +216,7 @@
             max_runs: u32::MAX,
             software: None,
             stall_limit: None,
+            urgency: UrgencyRank::default(),
             tokens_per_index: 1,
         };
         let request = SimulatedRequest {
--- a/tests/shard/harness.rs
+++ b/tests/shard/harness.rs
@@ -132,6 +132,7 @@
         returning: false,
         suspect: false,
         software: None,
+        urgency: UrgencyRank::default(),
         waited: Duration::ZERO,
     }
 }
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod harness;
 mod lengths;
 mod picture;
+mod urgency;
 
 use apricotrun::coordination::claims::digest_claims;
 use apricotrun::coordination::messages::{
