Bound what a host holds of a stream for a caller that reads slowly

Cause: events went from the upstream's connection into a queue without a bound, so a caller that stops reading made its host keep the whole stream; hosts have as little as 88 MB.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -212,6 +212,16 @@
         out.push(FlowAction::Progress(active.domain.clone(), attempt, produced));
     }
 
+    /// Extends the time in which the attempt must make progress: it is the caller that delays it.
+    pub(super) fn handle_caller_behind(&mut self, now: Instant, attempt: &AttemptId) {
+        let due = self.stall_deadline(now, true);
+        if let (FlowStage::Active(active), true) =
+            (&mut self.stage, self.attempt == attempt.attempt)
+        {
+            active.stall_deadline = due;
+        }
+    }
+
     pub(super) fn handle_run_ended(
         &mut self,
         now: Instant,
@@ -260,7 +270,7 @@
         let outcome = match (failure, outcome) {
             (UpstreamFailure::Full, ReleaseOutcome::PrefillLost) => ReleaseOutcome::PrefillFull,
             (UpstreamFailure::Full, _) => ReleaseOutcome::RunnerFull,
-            (UpstreamFailure::Withheld, _) => ReleaseOutcome::Withheld,
+            (UpstreamFailure::Unread | UpstreamFailure::Withheld, _) => ReleaseOutcome::Withheld,
             (UpstreamFailure::Failed, ReleaseOutcome::PrefillLost) => ReleaseOutcome::PrefillFailed,
             (UpstreamFailure::Failed, _) => ReleaseOutcome::RunnerFailed,
             (_, outcome) => outcome,
@@ -282,6 +292,9 @@
             };
             out.push(FlowAction::ReportCrash(report));
         }
+        if failure == UpstreamFailure::Unread {
+            return self.refuse(Refusal::not_run(RefusalReason::CallerTooSlow), out);
+        }
         self.avoid.push(failed_upstream);
         self.retry_elsewhere(now, !not_sent, out);
     }
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -119,6 +119,8 @@
     Died,
     /// Nothing was sent, as the upstream has said that it takes no requests from this daemon.
     Withheld,
+    /// The upstream ended the response after this daemon had not read it, as the caller did not.
+    Unread,
 }
 
 /// An input of [`RequestFlow::handle`](super::RequestFlow::handle).
@@ -132,6 +134,8 @@
     PrefillDone(AttemptId, KvHandle),
     /// The prefill worker failed.
     PrefillFailed(AttemptId, UpstreamFailure),
+    /// The attempt's output is not read, since the caller has not read enough.
+    CallerBehind(AttemptId),
     /// An event of the output stream has arrived.
     Token {
         /// The attempt on whose connection it arrived.
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -169,6 +169,7 @@
             FlowEvent::Token { attempt, request_id, index, text } => {
                 self.handle_token(now, &attempt, &request_id, index, text, &mut out);
             }
+            FlowEvent::CallerBehind(attempt) => self.handle_caller_behind(now, &attempt),
             FlowEvent::RunEnded(attempt, total) => {
                 self.handle_run_ended(now, &attempt, total, &mut out)
             }
--- a/src/state/verdict.rs
+++ b/src/state/verdict.rs
@@ -102,6 +102,8 @@
     OriginUnknown,
     /// The account has used the tokens that it may use.
     AllotmentSpent,
+    /// The caller has not read its stream, and the upstream has ended it.
+    CallerTooSlow,
     /// This daemon's configuration is too old to tell whether the key is still valid.
     StaleConfiguration,
 }
@@ -118,7 +120,7 @@
             Self::BadRequest | Self::CrashesUpstream | Self::BadTicket => 422,
             Self::NeedsTicket => 428,
             Self::Overloaded | Self::AccountLimit | Self::AllotmentSpent => 429,
-            Self::UpstreamFailed | Self::TicketHomeGone => 502,
+            Self::UpstreamFailed | Self::TicketHomeGone | Self::CallerTooSlow => 502,
             Self::NoUpstream
             | Self::NoOwner
             | Self::RetriesSpent
@@ -163,6 +165,7 @@
             Self::Stopping => "this daemon is stopping",
             Self::NoConfiguration => "this daemon has no configuration yet",
             Self::AllotmentSpent => "the client account has used its allotment",
+            Self::CallerTooSlow => "the caller has not read the response",
             Self::StaleConfiguration => "the configuration of this daemon is too old to check keys",
             Self::OriginUnknown => "it is not known which software version began the stream",
         };
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -13,6 +13,7 @@
 use crate::transport::gateway::reply::drop_connection_headers;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::gateway::stream::EventDecoder;
+use crate::transport::gateway::window::StreamWindow;
 use crate::transport::node::lock;
 use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
 use bytes::Bytes;
@@ -28,6 +29,8 @@
 
 /// Timeout of the connection attempt that shows whether an upstream still listens.
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
+/// For how long a stream must have been left unread for its upstream to be excused when it breaks off.
+const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// Limit on response bodies that never reach the caller, in bytes: prefill results and refusals.
 const MAX_SHORT_RESPONSE_BYTES: usize = 64 * 1024;
 
@@ -84,6 +87,8 @@
     service: ServiceName,
     /// What upstreams are told of the request's urgency.
     urgency: Option<UrgencyRank>,
+    /// Bounds what is held of a stream for the caller; `None` without a bound.
+    window: Option<Arc<StreamWindow>>,
 }
 
 impl ForwardExecutor {
@@ -95,7 +100,9 @@
         request: InboundRequest,
         urgency: Option<UrgencyRank>,
     ) -> Self {
+        let window = gateway.stream_window.map(|size| Arc::new(StreamWindow::new(size)));
         Self {
+            window,
             gateway,
             prefill_result: Mutex::new(None),
             kind,
@@ -128,6 +135,11 @@
         self.gateway.relay(&self.request, deadline).await
     }
 
+    /// Returns the window of the stream, whose bytes are released as the caller takes them.
+    pub fn window(&self) -> Option<Arc<StreamWindow>> {
+        self.window.clone()
+    }
+
     /// Returns the upstream's response as far as it has been received.
     pub fn response(&self) -> Option<UpstreamResponse> {
         lock(&self.response).clone()
@@ -266,10 +278,13 @@
                 *current = Some(response);
             }
         }
+        if let Some(window) = &self.window {
+            window.reset();
+        }
         let mut decoder = EventDecoder::default();
         let mut last = run.first_token;
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| UpstreamFailure::Broken)?;
+            let frame = frame.map_err(|_| self.broken_stream())?;
             let Ok(data) = frame.into_data() else { continue };
             decoder.push(&data);
             let broken = |error| {
@@ -283,6 +298,12 @@
                 last = event.id.unwrap_or(last + 1);
                 let Some(index) = last.checked_sub(1) else { return Err(UpstreamFailure::Broken) };
                 let (attempt, request_id) = (attempt.clone(), request_id.clone());
+                if let Some(window) = &self.window {
+                    // The request ends by itself if nobody receives this.
+                    let tell = || drop(events.send(FlowEvent::CallerBehind(attempt.clone())));
+                    let clock = &*self.gateway.node.clock;
+                    window.acquire(clock, event.text.len(), tell).await;
+                }
                 let token = FlowEvent::Token { attempt, index, request_id, text: event.text };
                 if events.send(token).is_err() {
                     return Err(UpstreamFailure::Broken);
@@ -290,12 +311,20 @@
             }
         }
         if !decoder.is_empty() {
-            return Err(UpstreamFailure::Broken);
+            return Err(self.broken_stream());
         }
         self.end_response(framed, connection, head).await?;
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
     }
 
+    /// Returns why a stream broke off: upstreams end a response that is not read for seconds.
+    fn broken_stream(&self) -> UpstreamFailure {
+        match &self.window {
+            Some(window) if window.longest_wait() >= UNREAD_TIME => UpstreamFailure::Unread,
+            _ => UpstreamFailure::Broken,
+        }
+    }
+
     fn split_exchange(
         &self,
         exchange: UpstreamExchange,
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod start;
 pub mod stream;
 pub mod templates;
+pub mod window;
 
 pub use dialect::{
     GatewayDialect, HeadError, InboundHead, OutboundHead, PromptShape, ResponseHead, ResponseKind,
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 use crate::transport::gateway::bodies::BodyReservation;
 use crate::transport::gateway::channels::UpstreamExchange;
+use crate::transport::gateway::window::StreamWindow;
 use crate::transport::requests::ResponsePart;
 use bytes::Bytes;
 use http::header::{self, HeaderName};
@@ -10,6 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use std::collections::BTreeSet;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use thiserror::Error;
 use tokio::sync::mpsc::Receiver;
@@ -53,6 +55,8 @@
         on_end: Option<CompletionHook>,
         /// The later events.
         parts: Receiver<ResponsePart>,
+        /// Bounds what is held of the stream.
+        window: Option<Arc<StreamWindow>>,
     },
     /// The body of another host's response, as it arrives.
     Relayed {
@@ -93,11 +97,15 @@
                 let chunk = bytes.split_to(bytes.len().min(CHUNK_BYTES));
                 Poll::Ready((!chunk.is_empty()).then(|| Ok(Frame::data(chunk))))
             }
-            Self::Events { first, on_end, parts } => {
-                if let Some(text) = first.take() {
-                    return Poll::Ready(Some(Ok(Frame::data(text.into()))));
+            Self::Events { first, on_end, parts, window } => {
+                let frame = match first.take() {
+                    Some(text) => Poll::Ready(Some(Ok(Frame::data(text.into())))),
+                    None => poll_events(on_end, parts, context),
+                };
+                if let (Poll::Ready(Some(Ok(frame))), Some(window)) = (&frame, window) {
+                    window.release(frame.data_ref().map_or(0, Bytes::len));
                 }
-                poll_events(on_end, parts, context)
+                frame
             }
             Self::Relayed { exchange, on_end } => poll_relayed(exchange, on_end, context),
         }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -297,7 +297,12 @@
             Some(ResponsePart::Opened | ResponsePart::Response(_)) => {}
             Some(ResponsePart::Text(text)) => {
                 let on_end = Box::new(move |outcome| log.finish(outcome));
-                let body = ResponseBody::Events { on_end: Some(on_end), first: Some(text), parts };
+                let body = ResponseBody::Events {
+                    on_end: Some(on_end),
+                    first: Some(text),
+                    parts,
+                    window: executor.window(),
+                };
                 return build_response(executor.response(), body);
             }
             Some(ResponsePart::Finished) => {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -99,6 +99,8 @@
     pub retries: RetryLimits,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// How many bytes of a stream are held for a caller that reads slowly; absent without a bound.
+    pub stream_window: Option<usize>,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub uses_urgency: bool,
 }
@@ -143,6 +145,8 @@
     pub(super) remote_cost: Option<Duration>,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub(super) uses_urgency: bool,
+    /// How many bytes of a stream are held for its caller; `None` without a bound.
+    pub(super) stream_window: Option<usize>,
     /// Whether this host reaches upstreams.
     pub paths: Arc<PathWatch>,
     /// The connections to other hosts that requests are passed on to.
@@ -366,6 +370,7 @@
         has_readable_routes: AtomicBool::new(true),
         propagation_limit: settings.propagation_limit,
         remote_cost: settings.remote_cost,
+        stream_window: settings.stream_window,
         uses_urgency: settings.uses_urgency,
         node,
         registration_due: Notify::new(),
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -238,6 +238,38 @@
     }
 }
 
+/// While the caller does not read, the host does not read either: the silent run must not count as
+/// stalled.
+#[test]
+fn run_of_a_caller_that_is_behind_does_not_stall() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.start_decoding();
+    harness.valid_token(1, 0);
+    for _ in 0..20 {
+        harness.handle(FlowEvent::CallerBehind(attempt(1)));
+        let actions = harness.advance_time(Duration::from_millis(400));
+        assert!(admission_requests(&actions).is_empty(), "{actions:?}");
+    }
+    let actions = harness.advance_time(Duration::from_secs(5));
+    assert_eq!(admission_requests(&actions).len(), 1, "a silent upstream still stalls");
+}
+
+/// An upstream that ends a response which its caller does not read has not crashed, and another one
+/// would write for nobody.
+#[test]
+fn run_that_is_ended_unread_is_not_repeated() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.start_decoding();
+    harness.valid_token(1, 0);
+    let actions = harness.handle(FlowEvent::RunFailed(attempt(1), UpstreamFailure::Unread));
+    assert!(admission_requests(&actions).is_empty());
+    let refusal = refusal_of(&actions).expect("a refusal");
+    assert_eq!(refusal.reason, RefusalReason::CallerTooSlow);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    let is_held_against = |action: &FlowAction| matches!(action, FlowAction::Abort { outcome, .. } if *outcome != ReleaseOutcome::Withheld);
+    assert!(!actions.iter().any(is_held_against), "{actions:?}");
+}
+
 /// The owner must back off the worker that is full, not the one that would have run the request.
 #[test]
 fn rejected_prefill_is_released_as_the_prefill_workers() {
