Dear requests of an account beyond its limit are served beside cheap ones

Change: a twentieth of a full bucket suffices for a request of any cost, and a request waits for tokens for half of its target instead of a quarter.

--- a/src/coordination/allotments/lease.rs
+++ b/src/coordination/allotments/lease.rs
@@ -220,11 +220,6 @@
         due.iter().for_each(|account| self.ask(now, account, actions));
     }
 
-    /// Returns the recent use of an account at this host, in tokens per second.
-    pub fn rate(&self, now: Instant, account: &AccountName) -> f64 {
-        self.leases.get(account).map_or(0.0, |lease| lease.rate(now))
-    }
-
     /// Asks for a reserve when half of it is used.
     fn renew(&mut self, now: Instant, account: &AccountName, actions: &mut Vec<LeaseAction>) {
         let Some(lease) = self.leases.get(account) else { return };
--- a/src/coordination/allotments/ledger.rs
+++ b/src/coordination/allotments/ledger.rs
@@ -16,8 +16,9 @@
 /// The part of a full bucket up to which tokens are granted for waiting requests only, and cheap ones
 /// need not wait until there is enough for a dear one.
 const TIGHT_FRACTION: f64 = 0.25;
-/// The part of a full bucket that suffices for a request of any cost.
-const FULL_FRACTION: f64 = 0.9;
+/// The part of a full bucket that suffices for a request of any cost: cheap requests that take all there
+/// is would starve dear ones.
+const SUFFICIENT_FRACTION: f64 = 0.05;
 /// The part of the tolerated tokens with which the bucket of a new ledger starts.
 const START_FRACTION: f64 = 0.05;
 /// The shortest time in which a full bucket fills, whatever burst is configured.
@@ -106,8 +107,8 @@
             ledger.bucket.add(-request.used);
         }
         let level = ledger.bucket.level();
-        // A request that costs more than the bucket holds runs when the bucket is full.
-        let is_granted = |tokens: f64| level >= tokens.min(view.capacity() * FULL_FRACTION);
+        let sufficient = view.capacity() * SUFFICIENT_FRACTION;
+        let is_granted = |tokens: f64| level >= tokens.min(sufficient);
         let mut tokens = match (is_granted(request.need), is_granted(request.least)) {
             (true, _) => request.need,
             (false, true) => request.least,
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -31,7 +31,7 @@
 /// shorten a route's timeout while streams run.
 const MIN_ORIGIN_LIFETIME: Duration = Duration::from_secs(30);
 /// The part of its latency target for which a request waits for tokens of its account's allotment.
-const TOKEN_PATIENCE: f64 = 0.25;
+const TOKEN_PATIENCE: f64 = 0.5;
 /// After how many latency targets a retryable call is tried at another upstream; slow responses
 /// take up to one and a half targets.
 const CALL_STALL_TARGETS: u32 = 3;
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -305,6 +305,24 @@
     }
 }
 
+/// Cheap requests of an account that is beyond its limit must not starve its dear ones.
+#[test]
+fn dear_requests_are_served_beside_cheap_ones() {
+    let mut harness = AccountHarness::new(20, 60_000.0, 13);
+    let users = all_hosts(20);
+    harness.run(4.0, 33_000.0, &users);
+    let flood = harness.now;
+    harness.run(10.0, 33_000.0 * 7.5, &users);
+    let served = |cost: f64| {
+        let recent = harness.served.iter().filter(|(at, other)| *at >= flood && *other == cost);
+        recent.count() as f64
+    };
+    // One request in seven is dear. The gate of the users: a kind of request that is served less than a
+    // quarter as often as all starves.
+    let share = served(5_200.0) / (served(5_200.0) + served(200.0));
+    assert!(share >= 0.25 / 7.0, "{share} of the served requests are dear");
+}
+
 /// While the ledger is dead and the hosts do not know it yet, ordinary callers go on.
 #[test]
 fn ledger_that_is_killed_refuses_few() {
