A copy of a lease grant is not given back to the ledger

Found by reading: an answer that matched no open question was returned, also when it was a copy of one that had been used, so the ledger was credited with tokens that it had never granted. The links between daemons do not double frames, so no caller has seen this.

copy_of_a_grant_is_not_given_back fails before.

--- a/src/coordination/allotments/lease.rs
+++ b/src/coordination/allotments/lease.rs
@@ -3,7 +3,7 @@
 use super::bucket::TokenBucket;
 use super::{AllotmentTolerance, COAST_TIME, LeaseGrant, LeaseRequest};
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a request waits for the ledger's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
@@ -25,6 +25,8 @@
 /// The longest time for which a refusal of the ledger holds at this host: other hosts may have given
 /// tokens back meanwhile.
 const MAX_DENIAL: Duration = Duration::from_millis(100);
+/// The number of given up questions whose answers are awaited.
+const MAX_GIVEN_UP: usize = 64;
 /// The longest time that a refusal names.
 const MAX_WAIT: Duration = Duration::from_secs(4);
 
@@ -96,6 +98,8 @@
     coasts: BTreeMap<AccountName, TokenBucket>,
     /// The number of hosts of the deployment.
     hosts: usize,
+    /// The questions that were given up and may still be answered.
+    given_up: BTreeSet<u64>,
     leases: BTreeMap<AccountName, AccountLease>,
     sequence: u64,
     tolerance: AllotmentTolerance,
@@ -104,7 +108,14 @@
 impl LeaseBook {
     /// Returns a book without leases.
     pub fn new(tolerance: AllotmentTolerance) -> Self {
-        Self { coasts: BTreeMap::new(), hosts: 1, leases: BTreeMap::new(), sequence: 0, tolerance }
+        Self {
+            coasts: BTreeMap::new(),
+            given_up: BTreeSet::new(),
+            hosts: 1,
+            leases: BTreeMap::new(),
+            sequence: 0,
+            tolerance,
+        }
     }
 
     /// Sets how many hosts the deployment has, including those that were lately lost.
@@ -181,8 +192,10 @@
             Some((lease, open))
         });
         let Some((lease, open)) = answered else {
-            // It answers a question that was given up, or is a copy.
-            return actions.push(LeaseAction::Return(account.clone(), grant.tokens, false));
+            if self.given_up.remove(&grant.sequence) {
+                actions.push(LeaseAction::Return(account.clone(), grant.tokens, false));
+            }
+            return;
         };
         lease.open = None;
         (lease.least, lease.waiting) = (f64::INFINITY, 0.0);
@@ -204,7 +217,7 @@
         let mut due = Vec::new();
         for (account, lease) in &mut self.leases {
             if lease.open.is_some_and(|open| now >= open.asked_at + ANSWER_TIMEOUT * 2) {
-                lease.give_up_question();
+                self.given_up.extend(lease.give_up_question());
             }
             if now >= lease.used_at + IDLE_TIME && lease.unreported <= 0.0 {
                 idle.push(account.clone());
@@ -212,6 +225,9 @@
                 due.push(account.clone());
             }
         }
+        while self.given_up.len() > MAX_GIVEN_UP {
+            self.given_up.pop_first();
+        }
         for account in idle {
             if let Some(lease) = self.leases.remove(&account) {
                 actions.push(LeaseAction::Return(account, lease.level.max(0.0), true));
@@ -287,7 +303,7 @@
             coast.add((coast_rate * COAST_CREDIT_TIME.as_secs_f64()).min(capacity - coast.level()));
         }
         if lease.open.is_some_and(|open| now >= open.asked_at + ANSWER_TIMEOUT) {
-            lease.give_up_question();
+            self.given_up.extend(lease.give_up_question());
         }
         let outcome = if coast.level() > 0.0 {
             coast.add(-cost);
@@ -330,11 +346,11 @@
     }
 
     /// Stops waiting for the ledger's answer. What the question reported is reported again, since it
-    /// may have been lost.
-    fn give_up_question(&mut self) {
-        if let Some(open) = self.open.take() {
-            self.unreported += open.used;
-        }
+    /// may have been lost. Returns the number of the question.
+    fn give_up_question(&mut self) -> Option<u64> {
+        let open = self.open.take()?;
+        self.unreported += open.used;
+        Some(open.sequence)
     }
 
     fn rate(&self, now: Instant) -> f64 {
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -381,6 +381,32 @@
     assert!(worst <= 1.0, "seed {seed}, {rate}: {worst} of what is tolerated");
 }
 
+/// A grant that comes late is given back once; a copy of a grant is worth nothing. Else the ledger would
+/// be credited with tokens that it never granted.
+#[test]
+fn copy_of_a_grant_is_not_given_back() {
+    let mut harness = AccountHarness::new(1, 30_000.0, 5);
+    let (now, allotment) = (harness.now, harness.allotment);
+    let book = &mut harness.hosts[0].book;
+    let mut actions = Vec::new();
+    book.take(now, &account(), allotment, 200.0, &mut actions);
+    let Some(LeaseAction::Ask(_, request)) = actions.pop() else { panic!("a question") };
+    let grant =
+        |sequence| LeaseGrant { holders: 1, sequence, tight: true, tokens: 200.0, wait: None };
+    // The ledger's answer comes after the question has been given up.
+    let later = now + Duration::from_secs(1);
+    book.tick(later, &mut actions);
+    actions.clear();
+    book.receive(later, &account(), &grant(request.sequence), &mut actions);
+    assert_eq!(actions, [LeaseAction::Return(account(), 200.0, false)]);
+    actions.clear();
+    book.receive(later, &account(), &grant(request.sequence), &mut actions);
+    assert_eq!(actions, [], "a copy of the late answer");
+    book.receive(later, &account(), &grant(request.sequence + 1), &mut actions);
+    book.receive(later, &account(), &grant(request.sequence + 1), &mut actions);
+    assert_eq!(actions, [], "a copy of an answer in time");
+}
+
 /// Refused requests are told different times, so that those who come back do not meet.
 #[test]
 fn times_of_refused_requests_are_spaced() {
