A call that stays open for long counts as failed where plain calls are placed

Cause: a worker that hangs sends neither errors nor reports; its picture faded to the mean, and each of 79 hosts found it out alone, while calls had stayed in one failure domain before.

Change: a call open for eight service times counts as a failure of its upstream, here and in what other hosts are told. upstream_that_hangs_is_avoided_and_named guards it.

--- a/src/coordination/shard/pool/picture.rs
+++ b/src/coordination/shard/pool/picture.rs
@@ -6,7 +6,7 @@
 //! hosts that each send a few calls a second and all hear the same news. See
 //! docs/design/upstream-picture.md.
 
-use super::WorkerPool;
+use super::{HeldClaim, PoolWorker, WorkerPool};
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -29,6 +29,9 @@
 const JITTER: f64 = 0.2;
 /// The longest queue that a report is believed to name, in slots.
 const MAX_QUEUE_SLOTS: u32 = 10;
+/// The multiple of the service time after which an open call counts as failed: an upstream that hangs
+/// sends neither reports nor errors.
+const OVERDUE_FACTOR: f64 = 8.0;
 /// What a failed call costs, in service times: most callers lose it, or have to send it again.
 const FAILURE_COST: f64 = 10.0;
 
@@ -184,7 +187,7 @@
         let mut news: Vec<_> = recent
             .map(|(worker, picture)| UpstreamNews {
                 age: now.saturating_duration_since(picture.reported_at),
-                failing: (worker.health.failure_rate(now) * 100.0) as u32,
+                failing: (self.seen_failures(now, worker) * 100.0) as u32,
                 incarnation: worker.spec.incarnation,
                 name: worker.spec.name.clone(),
                 report: picture.report,
@@ -195,6 +198,21 @@
         news
     }
 
+    /// Returns the rate of failures that this host has seen at an upstream itself; one if a call has been
+    /// open there for far longer than a call takes.
+    fn seen_failures(&self, now: Instant, worker: &PoolWorker) -> f64 {
+        let slowness = worker.picture.map_or(1.0, |picture| picture.report.slowness.factor());
+        let service = self.service_time.seconds_or(DEFAULT_SERVICE_TIME) * slowness.max(1.0);
+        let is_overdue = |held: &HeldClaim| {
+            let open = now.saturating_duration_since(held.since).as_secs_f64();
+            held.claim.runner == worker.spec.name && open > service * OVERDUE_FACTOR
+        };
+        match worker.slots > 0 && self.claims.values().any(is_overdue) {
+            true => 1.0,
+            false => worker.health.failure_rate(now),
+        }
+    }
+
     /// Returns the mean picture of the upstreams that report their load; `None` if none does, or if
     /// no cost of leaving the failure domain is configured.
     pub(super) fn mean_picture(&self, now: Instant) -> Option<MeanPicture> {
@@ -202,7 +220,7 @@
         let pictures = self.workers.values().filter_map(|worker| Some((worker, worker.picture?)));
         let mut sum = (0.0, 0.0, 0.0, 0.0);
         for (worker, picture) in pictures {
-            let failures = worker.health.failure_rate(now).max(picture.heard_failures(now));
+            let failures = self.seen_failures(now, worker).max(picture.heard_failures(now));
             let weight = picture.weight(now);
             sum.0 += 1.0;
             sum.1 += failures;
@@ -236,7 +254,7 @@
         let service = self.service_time.seconds_or(DEFAULT_SERVICE_TIME) * slowness;
         let ahead = (queue * slots + sent + 1.0 - slots).max(0.0);
         let heard = picture.map_or(0.0, |picture| picture.heard_failures(now));
-        let failures = worker.health.failure_rate(now).max(heard) - mean.failures;
+        let failures = self.seen_failures(now, worker).max(heard) - mean.failures;
         let is_remote = self.local_domain.as_ref().is_some_and(|own| *own != worker.spec.domain);
         let leaving = self.remote_cost.filter(|_| is_remote).unwrap_or_default().as_secs_f64();
         let wait = (ahead / slots + 1.0) * service * jitter(attempt, name);
--- a/tests/shard/picture.rs
+++ b/tests/shard/picture.rs
@@ -215,6 +215,29 @@
     assert!(counts[0] < 50, "{counts:?}");
 }
 
+/// An upstream that hangs sends neither errors nor reports; after the first call that does not end no
+/// further ones are sent there, and other hosts are told.
+#[test]
+fn upstream_that_hangs_is_avoided_and_named() {
+    let mut harness = entry(REMOTE_COST);
+    (0..4).for_each(|index| harness.report(index, report(1, 100)));
+    let mut hanging = Vec::new();
+    while hanging.is_empty() {
+        let (attempt, index) = harness.place().expect("a grant");
+        match index {
+            0 => hanging.push(attempt),
+            _ => harness.release(attempt, ReleaseOutcome::Finished),
+        }
+    }
+    harness.now += MILLI * 400;
+    (1..4).for_each(|index| harness.report(index, report(6, 100)));
+    let counts = harness.place_in_turn(20);
+    assert_eq!(counts[0], 0, "{counts:?}");
+    let news = harness.ledger.news(harness.now);
+    let named = news.iter().find(|record| record.name == name(0)).expect("a record");
+    assert_eq!(named.failing, 100);
+}
+
 /// News of an earlier incarnation says nothing of the one that runs.
 #[test]
 fn news_of_another_incarnation_is_dropped() {
