Keep for a second which daemon keeps the ledger of an account

Cause, by reading: each host ranked all members for each of 16 accounts ten times a second. That grows with the fleet.

Change: the ranking is kept for a second at most, or until the members change.

--- a/src/transport/allotments.rs
+++ b/src/transport/allotments.rs
@@ -16,6 +16,8 @@
 
 /// The interval at which leases are reported, renewed and given back.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
+/// For how long it is kept which daemon keeps the ledger of an account.
+const KEEPER_TTL: Duration = Duration::from_secs(1);
 /// For how long a host that is lost without a planned stop counts as one that may still serve.
 const LOST_TIME: Duration = Duration::from_secs(10);
 
@@ -25,9 +27,18 @@
     answered: Notify,
     /// Notified when the first allotment is in force.
     begun: Notify,
+    /// The daemons that keep the ledgers, as last computed. Ranking all daemons for each message would
+    /// grow with the fleet.
+    keepers: Mutex<KeeperCache>,
     tables: Mutex<AllotmentTables>,
 }
 
+#[derive(Default)]
+struct KeeperCache {
+    computed_at: Option<Instant>,
+    records: BTreeMap<AccountName, MemberRecord>,
+}
+
 struct AllotmentTables {
     book: LeaseBook,
     ledger: AllotmentLedger,
@@ -44,7 +55,17 @@
             limits: BTreeMap::new(),
             tolerance,
         };
-        Self { answered: Notify::new(), begun: Notify::new(), tables: Mutex::new(tables) }
+        Self {
+            answered: Notify::new(),
+            begun: Notify::new(),
+            keepers: Mutex::default(),
+            tables: Mutex::new(tables),
+        }
+    }
+
+    /// Forgets which daemons keep the ledgers, as the members have changed.
+    pub fn forget_keepers(&self) {
+        lock(&self.keepers).records.clear();
     }
 }
 
@@ -225,6 +246,22 @@
     /// Returns the daemon that keeps the ledger of an account: the first by rendezvous hash of those
     /// that stay.
     fn ledger_of(&self, account: &AccountName) -> MemberRecord {
+        let now = self.clock.now();
+        {
+            let mut keepers = lock(&self.allotments.keepers);
+            if keepers.computed_at.is_none_or(|at| now >= at + KEEPER_TTL) {
+                *keepers = KeeperCache { computed_at: Some(now), records: BTreeMap::new() };
+            }
+            if let Some(record) = keepers.records.get(account) {
+                return record.clone();
+            }
+        }
+        let record = self.compute_keeper(account);
+        lock(&self.allotments.keepers).records.insert(account.clone(), record.clone());
+        record
+    }
+
+    fn compute_keeper(&self, account: &AccountName) -> MemberRecord {
         let members = lock(&self.members);
         let stay = members.running().filter(|record| record.state != MemberState::Leaving);
         let stay: BTreeMap<_, _> = stay.map(|record| (&record.daemon, record)).collect();
--- a/src/transport/gossip.rs
+++ b/src/transport/gossip.rs
@@ -133,6 +133,7 @@
         if self.log_limiter.permits(DecisionKind::Members) {
             self.log_members();
         }
+        self.allotments.forget_keepers();
         self.update_roles();
         self.divide_limits();
         self.spread_origins();
