Hosts that overdraw an allotment without a ledger owe it to the next one

Cause: the use in quarters of a second shows the excess at the start of a cut and right after each restart of the ledger. While no ledger answers, hosts go on at their recent rates, which after a burst add up to more than the limit; and each host may end in debt for one request, up to 5,200 tokens, which the next ledger did not count, as it is told of as use of a host that is new to it.

Ruled out: debts of leases (none while tokens are few) and the start level of a new ledger (6,000 tokens of the 48,000 that were too many).

Change: each grant names the part of the limit at which the host may go on by itself; the parts of all hosts add up to the limit. A question names the overdraft, which a new ledger takes from its bucket.

--- a/src/coordination/allotments/bucket.rs
+++ b/src/coordination/allotments/bucket.rs
@@ -27,6 +27,11 @@
         self.level
     }
 
+    /// Returns the tokens that are missing from an empty bucket.
+    pub fn debt(&self) -> f64 {
+        (-self.level).max(0.0)
+    }
+
     /// Adds tokens, or takes them if negative.
     pub fn add(&mut self, tokens: f64) {
         self.level += tokens;
--- a/src/coordination/allotments/lease.rs
+++ b/src/coordination/allotments/lease.rs
@@ -56,6 +56,8 @@
     asked_at: Instant,
     least: f64,
     need: f64,
+    /// The overdraft that it reports.
+    overdraft: f64,
     sequence: u64,
     /// The use that it reports.
     used: f64,
@@ -66,7 +68,9 @@
     allotment: TokenAllotment,
     answered_at: Option<Instant>,
     asked_at: Option<Instant>,
-    /// The recent use when the ledger fell silent.
+    /// The rate that the ledger allows while it is silent.
+    coast_limit: f64,
+    /// The rate at which the host goes on since the ledger fell silent.
     coast_rate: Option<f64>,
     /// Until when the ledger is not asked for this many tokens or more.
     denied: Option<(Instant, f64)>,
@@ -198,10 +202,14 @@
             return;
         };
         lease.open = None;
+        if let Some(coast) = self.coasts.get_mut(account) {
+            coast.add(open.overdraft);
+        }
         (lease.least, lease.waiting) = (f64::INFINITY, 0.0);
         lease.tight = grant.tight;
         lease.answered_at = Some(now);
         lease.coast_rate = None;
+        lease.coast_limit = grant.coast_limit;
         lease.holders = grant.holders.max(1);
         lease.level += grant.tokens;
         let denied = if grant.tokens > 0.0 { open.need - grant.tokens } else { open.least };
@@ -254,10 +262,12 @@
         let rate = lease.rate(now);
         let reserve = (rate * RESERVE_TIME.as_secs_f64() - lease.level.max(0.0)).max(1.0);
         let debt = (-lease.level).max(0.0);
+        let overdraft = self.coasts.get(account).map_or(0.0, TokenBucket::debt);
         let need = std::mem::take(&mut lease.waiting);
         let request = LeaseRequest {
             least: std::mem::replace(&mut lease.least, f64::INFINITY).min(need),
             need,
+            overdraft,
             rate,
             reserve,
             sequence: self.sequence,
@@ -266,7 +276,7 @@
         lease.level = lease.level.max(0.0);
         let (sequence, used) = (self.sequence, request.used);
         let least = request.least;
-        lease.open = Some(OpenRequest { asked_at: now, least, need, sequence, used });
+        lease.open = Some(OpenRequest { asked_at: now, least, need, overdraft, sequence, used });
         lease.asked_at = Some(now);
         actions.push(LeaseAction::Ask(account.clone(), request));
     }
@@ -283,7 +293,7 @@
         let Some(lease) = self.leases.get_mut(account) else {
             return LeaseOutcome::Denied(now + MIN_DENIAL);
         };
-        let recent = lease.rate(now);
+        let recent = lease.rate(now).min(lease.coast_limit);
         let begins = lease.coast_rate.is_none();
         let coast_rate = *lease.coast_rate.get_or_insert(recent);
         let is_recent = lease.answered_at.is_some_and(|at| now < at + COAST_TIME);
@@ -328,6 +338,7 @@
             allotment,
             answered_at: None,
             asked_at: None,
+            coast_limit: 0.0,
             coast_rate: None,
             denied: None,
             expected_at: now,
--- a/src/coordination/allotments/ledger.rs
+++ b/src/coordination/allotments/ledger.rs
@@ -84,9 +84,10 @@
 }
 
 impl AllotmentLedger {
-    /// Answers a host's request for tokens. What a host that is new here has used without a grant is not
-    /// counted: meanwhile its recent rate was set aside, or no ledger has granted anything. The bucket of an account that is new here starts with a part
-    /// of what is tolerated only, as another ledger may just have granted all there was.
+    /// Answers a host's request for tokens. Of what a host that is new here has used without a grant,
+    /// only its overdraft counts: meanwhile its recent rate was set aside, or no ledger has granted
+    /// anything. The bucket of an account that is new here starts with a part of what is tolerated only,
+    /// as another ledger may just have granted all there was.
     pub fn grant(
         &mut self,
         now: Instant,
@@ -103,9 +104,8 @@
         let rate = ledger.refill(now, view);
         ledger.holders.retain(|other, _| other.host != host.host || other == host);
         let holder = HolderRecord { asked_at: now, rate: request.rate };
-        if ledger.holders.insert(host.clone(), holder).is_some() {
-            ledger.bucket.add(-request.used);
-        }
+        let is_known = ledger.holders.insert(host.clone(), holder).is_some();
+        ledger.bucket.add(-if is_known { request.used } else { request.overdraft });
         let level = ledger.bucket.level();
         let sufficient = view.capacity() * SUFFICIENT_FRACTION;
         let is_granted = |tokens: f64| level >= tokens.min(sufficient);
@@ -123,8 +123,14 @@
         let reserve = request.reserve.min(largest).min(spare).max(0.0);
         ledger.bucket.add(-reserve);
         tokens += reserve;
-        let sequence = request.sequence;
-        LeaseGrant { holders: holders as u32, sequence, tight: spare <= 0.0, tokens, wait }
+        LeaseGrant {
+            coast_limit: ledger.coast_limit(request.rate, view),
+            holders: holders as u32,
+            sequence: request.sequence,
+            tight: spare <= 0.0,
+            tokens,
+            wait,
+        }
     }
 
     /// Takes back tokens that a host does not need.
@@ -184,6 +190,13 @@
         ready - now
     }
 
+    /// Returns the part of the limit at which a host with this recent rate may go on by itself.
+    /// Recent rates may add up to more than the limit, as after a burst.
+    fn coast_limit(&self, rate: f64, view: &LedgerView) -> f64 {
+        let used: f64 = self.holders.values().map(|holder| holder.rate).sum();
+        rate * view.allotment.rate.0 * view.visible.clamp(0.0, 1.0) / used.max(1.0)
+    }
+
     /// Returns the rate at which hosts that have fallen silent may go on by themselves.
     fn set_aside(&self, now: Instant) -> f64 {
         let silent = self.holders.values().filter(|holder| now >= holder.asked_at + SILENCE);
--- a/src/coordination/allotments/mod.rs
+++ b/src/coordination/allotments/mod.rs
@@ -68,6 +68,9 @@
     pub least: f64,
     /// The tokens that all waiting requests need.
     pub need: f64,
+    /// By how much the host has used more than it was allowed while no ledger answered. It is part of
+    /// `used`.
+    pub overdraft: f64,
     /// The recent use at this host, in tokens per second.
     pub rate: f64,
     /// Tokens for requests to come, which are granted only if there are enough.
@@ -81,6 +84,9 @@
 /// Answers a [`LeaseRequest`].
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LeaseGrant {
+    /// At which rate the host may go on if the ledger falls silent, in tokens per second. For all
+    /// hosts together it is no more than the limit.
+    pub coast_limit: f64,
     /// The number of hosts that use the account.
     pub holders: u32,
     /// The number of the request.
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -3,7 +3,7 @@
 
 use apricotrun::coordination::allotments::{
     AllotmentLedger, AllotmentTolerance, LeaseAction, LeaseBook, LeaseGrant, LeaseOutcome,
-    LedgerView,
+    LeaseRequest, LedgerView,
 };
 use apricotrun::coordination::ownership::{allotment_key, rank_daemons};
 use apricotrun::prelude::*;
@@ -345,10 +345,11 @@
     (0..24).for_each(check_flood_during_failures);
 }
 
-/// The only one of the seeds 0 to 383 that exceeds the tolerance; see KNOWN-RED.txt.
+/// Seeds of 0 to 1599 with which the use exceeded the tolerance while hosts that went on without a ledger
+/// owed nothing to the next one.
 #[test]
 fn flood_during_three_restarts_stays_within_the_tolerance() {
-    check_flood_during_failures(178);
+    [178, 574, 1073, 1198, 1346, 1376].into_iter().for_each(check_flood_during_failures);
 }
 
 fn check_flood_during_failures(seed: u64) {
@@ -391,8 +392,14 @@
     let mut actions = Vec::new();
     book.take(now, &account(), allotment, 200.0, &mut actions);
     let Some(LeaseAction::Ask(_, request)) = actions.pop() else { panic!("a question") };
-    let grant =
-        |sequence| LeaseGrant { holders: 1, sequence, tight: true, tokens: 200.0, wait: None };
+    let grant = |sequence| LeaseGrant {
+        coast_limit: 0.0,
+        holders: 1,
+        sequence,
+        tight: true,
+        tokens: 200.0,
+        wait: None,
+    };
     // The ledger's answer comes after the question has been given up.
     let later = now + Duration::from_secs(1);
     book.tick(later, &mut actions);
@@ -423,3 +430,47 @@
         );
     }
 }
+
+/// What hosts use while no ledger answers is limited together: the recent rates of all hosts may add up to
+/// more than the limit, and a host that overdraws its part owes that to the next ledger.
+#[test]
+fn hosts_without_a_ledger_share_the_limit_and_pay_back() {
+    let mut harness = AccountHarness::new(2, 30_000.0, 5);
+    let view = harness.view(0);
+    let (now, allotment) = (harness.now, harness.allotment);
+    let ask = |rate, overdraft| LeaseRequest {
+        least: 0.0,
+        need: 0.0,
+        overdraft,
+        rate,
+        reserve: 0.0,
+        sequence: 1,
+        used: overdraft,
+    };
+    let ids: Vec<_> = harness.hosts.iter().map(|host| host.id.clone()).collect();
+    let ledger = &mut harness.hosts[0].ledger;
+    ledger.grant(now, &account(), &ids[0], &ask(60_000.0, 0.0), &view);
+    let second = ledger.grant(now, &account(), &ids[1], &ask(30_000.0, 0.0), &view);
+    assert_eq!(second.coast_limit, 10_000.0, "a third of the use is at this host");
+    let level =
+        |ledger: &AllotmentLedger| ledger.status(now, &account()).expect("an account").level;
+    let (mut next, mut debited) = (AllotmentLedger::default(), AllotmentLedger::default());
+    next.grant(now, &account(), &ids[0], &ask(30_000.0, 0.0), &view);
+    debited.grant(now, &account(), &ids[0], &ask(30_000.0, 5_000.0), &view);
+    assert_eq!(level(&next) - level(&debited), 5_000.0);
+    // A host reports what it has taken beyond its part, until a ledger has answered.
+    let book = &mut harness.hosts[1].book;
+    let mut actions = Vec::new();
+    for step in 0..10 {
+        let at = now + Duration::from_millis(step * 130);
+        book.take(at, &account(), allotment, 5_200.0, &mut actions);
+    }
+    let asked: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            LeaseAction::Ask(_, request) => Some(request.overdraft),
+            LeaseAction::Return(..) => None,
+        })
+        .collect();
+    assert!(asked.last().is_some_and(|overdraft| *overdraft > 2_000.0), "{asked:?}");
+}
