--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -8,7 +8,8 @@
 mod events;
 
 pub use events::{
-    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
+    FlowAction, FlowEvent, KvHandle, RequestSpec, ResumptionSpec, RetryLimiter, UnlimitedRetries,
+    UpstreamFailure,
 };
 
 use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
@@ -331,6 +332,7 @@
             software: self.software.clone(),
             suspect: self.suspect,
             urgency: self.spec.urgency,
+            warm: self.spec.warm.clone().filter(|_| self.attempts_started == 0),
             waited: now.saturating_duration_since(self.started),
         };
         out.push(FlowAction::Send(
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -1,10 +1,11 @@
 //! Runs one request: passes events to its [`RequestFlow`] and executes the actions that it returns.
 
 use crate::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, ResumptionSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
-    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
+    ClaimPhase, CrashReport, OriginAgreement, ReleaseOutcome, ShardMessage, SlotClaim, StreamKey,
+    StreamOrigin,
 };
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
@@ -93,7 +94,8 @@
         accepted: now,
         claim: None,
         deadline: spec.deadline,
-        origin_lifetime: spec.origin_lifetime,
+        id: spec.id.clone(),
+        resumption: spec.resumption,
         events,
         flow: RequestFlow::new(now, spec),
         request_id: request_id.to_owned(),
@@ -131,7 +133,8 @@
     /// Whether a part could not be delivered, because the caller disconnected or stopped reading.
     delivery_failed: bool,
     node: Arc<DaemonNode>,
-    origin_lifetime: Option<Duration>,
+    id: RequestId,
+    resumption: Option<ResumptionSpec>,
     parts: Sender<ResponsePart>,
     prefilled: bool,
     prompt: Tokens,
@@ -269,14 +272,18 @@
 
     /// Tells other daemons which software version begins the stream, ahead of its first event.
     fn record_origin(&self) {
-        if let Some(lifetime) = self.origin_lifetime {
-            let origin = StreamOrigin {
-                domain: self.node.settings.domain.clone(),
-                entry: self.node.me.clone(),
-                service: self.service.clone(),
-                software: self.software.clone(),
-            };
-            self.node.record_origin(&self.request_id, origin, lifetime);
+        let Some(ResumptionSpec { content, lifetime }) = self.resumption else { return };
+        let Some(claim) = &self.claim else { return };
+        let origin = StreamOrigin {
+            agreement: OriginAgreement::Sole,
+            domain: self.node.settings.domain.clone(),
+            request: self.id.clone(),
+            runner: claim.runner.clone(),
+            service: self.service.clone(),
+            software: self.software.clone(),
+        };
+        for key in [StreamKey::Request(self.request_id.clone()), StreamKey::Content(content)] {
+            self.node.record_origin(&key, origin.clone(), lifetime);
         }
     }
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -85,6 +85,7 @@
             suspect: false,
             software: None,
             urgency: UrgencyRank::default(),
+            warm: None,
             waited: Duration::ZERO,
         };
         let actions = self.deliver(ShardMessage::RequestAdmission(admission));
