--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -53,8 +53,9 @@
     pub part_verdict: PartVerdict,
     /// The parts of the prompt that other requests may share, from its start.
     pub parts: Vec<PromptPart>,
-    /// How callers can take the stream up at another daemon; `None` if they cannot.
-    pub resumption: Option<ResumptionSpec>,
+    /// How long daemons keep which software version began the stream, so that callers can take it
+    /// up at another daemon; `None` if they cannot.
+    pub origin_lifetime: Option<Duration>,
     /// The length of the prompt.
     pub prompt: Tokens,
     /// The longest output that the request allows.
@@ -82,17 +83,6 @@
     pub tokens_per_index: u32,
     /// How urgent the request is.
     pub urgency: UrgencyRank,
-    /// The upstream that began the stream that the caller takes up, if it is known.
-    pub warm: Option<UpstreamName>,
-}
-
-/// How a stream is recognized when its caller takes it up at another daemon.
-#[derive(Clone, Copy, Debug)]
-pub struct ResumptionSpec {
-    /// The digest of the caller's account, the path, the prompt and the body.
-    pub content: Fingerprint,
-    /// How long daemons keep which software version began the stream.
-    pub lifetime: Duration,
 }
 
 /// Limits how often requests are sent to further upstreams after their first, so that retries do
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -8,8 +8,7 @@
 mod events;
 
 pub use events::{
-    FlowAction, FlowEvent, KvHandle, RequestSpec, ResumptionSpec, RetryLimiter, UnlimitedRetries,
-    UpstreamFailure,
+    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
 };
 
 use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
@@ -332,7 +331,6 @@
             software: self.software.clone(),
             suspect: self.suspect,
             urgency: self.spec.urgency,
-            warm: self.spec.warm.clone().filter(|_| self.attempts_started == 0),
             waited: now.saturating_duration_since(self.started),
         };
         out.push(FlowAction::Send(
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -8,7 +8,6 @@
 use crate::state::fleet::{DocumentName, StoredDocument};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 
 /// The phase that an attempt has reached at its upstreams.
@@ -79,8 +78,6 @@
     pub software: Option<SoftwareVersion>,
     /// How urgent the request is.
     pub urgency: UrgencyRank,
-    /// The upstream that ran the request before and may still hold the KV cache of its prompt.
-    pub warm: Option<UpstreamName>,
     /// The time since the entry daemon accepted the request, across all owners.
     pub waited: Duration,
 }
@@ -271,50 +268,14 @@
     },
 }
 
-/// What identifies a stream to a daemon at which its caller takes it up.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub enum StreamKey {
-    /// The caller's id of the request that began it, for callers that name it.
-    Request(String),
-    /// The digest of the caller's account, the path, the prompt and the body. The request that takes the
-    /// stream up repeats them.
-    Content(Fingerprint),
-}
-
-impl fmt::Display for StreamKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Request(id) => write!(f, "request/{id}"),
-            Self::Content(digest) => write!(f, "content/{digest}"),
-        }
-    }
-}
-
-/// Whether a [`StreamKey`] stands for one stream only: callers may send the same content twice.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub enum OriginAgreement {
-    /// One stream is known.
-    #[default]
-    Sole,
-    /// Several streams are known, which began at the same version.
-    Shared,
-    /// Several streams are known, which began at different versions. Which one a caller takes up
-    /// cannot be told.
-    Contested,
-}
-
 /// Where a stream began.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamOrigin {
-    /// Whether other streams have the same key.
-    pub agreement: OriginAgreement,
     /// The failure domain of the entry daemon.
     pub domain: DomainName,
-    /// The request that began it, which names the entry daemon.
-    pub request: RequestId,
-    /// The upstream that began it, which may still hold the KV cache of the prompt.
-    pub runner: UpstreamName,
-    /// The service of that upstream.
+    /// The entry daemon.
+    pub entry: DaemonId,
+    /// The service whose upstream began it.
     pub service: ServiceName,
     /// The software version of that upstream.
     pub software: SoftwareVersion,
@@ -428,19 +389,19 @@
     },
     /// The origin of a stream, from its entry daemon or a daemon that keeps it, to one that should.
     StreamOrigin {
-        /// The key under which it is kept.
-        key: StreamKey,
         /// How long it is kept.
         lifetime: Duration,
         /// The origin itself.
         origin: StreamOrigin,
+        /// The caller's id of the request that began the stream.
+        request: String,
     },
     /// Asks for the origin of a stream that a caller takes up at the sender.
     FindOrigin {
-        /// The key of the stream.
-        key: StreamKey,
         /// A number that the [`PeerMessage::FoundOrigin`] repeats.
         lookup: u64,
+        /// The caller's id of the request that began the stream.
+        request: String,
         /// The service of the route of the new request.
         service: ServiceName,
         /// The longest time ago at which the stream can have begun.
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -1,7 +1,6 @@
 //! Assigns shards, and the watching of the store, to daemons by rendezvous hashing, without
 //! configuration or election.
 
-use crate::coordination::messages::StreamKey;
 use crate::prelude::*;
 
 /// Ranks the daemons for a key by rendezvous hashing: the first owns it, the next ones are backups.
@@ -37,9 +36,10 @@
     format!("allotment/{account}")
 }
 
-/// Returns the key by which the daemons that keep the origin of a stream are ranked.
-pub fn origin_key(key: &StreamKey) -> String {
-    format!("origin/{key}")
+/// Returns the key by which the daemons that keep the origin of a stream are ranked. `request` is
+/// the caller's id of the request that began it.
+pub fn origin_key(request: &str) -> String {
+    format!("origin/{request}")
 }
 
 /// Returns the key by which the daemons that may try a refused part of prompts are ranked.
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -30,8 +30,7 @@
         prefixes: &PrefixIndex,
     ) -> Option<GrantMessage> {
         let runner = self.choose_runner(now, request, need)?;
-        let is_warm = request.warm.as_ref() == Some(&runner.spec.name);
-        let prefill = match self.needs_prefill() && !request.prefilled && !is_warm {
+        let prefill = match self.needs_prefill() && !request.prefilled {
             true => match self.choose_prefill(now, request, prefixes) {
                 None if !template.local_prefill => return None,
                 chosen => chosen,
@@ -67,19 +66,13 @@
         request: &AdmissionRequest,
         need: MemoryNeed,
     ) -> Option<&PoolWorker> {
-        let has_room = |worker: &&PoolWorker| {
+        let candidates = self.runners().filter(|worker| {
             worker.is_usable(now)
                 && worker.slots < worker.spec.slots.0
                 && self.has_memory(now, worker, need, request.is_late())
                 && worker.accepts(request)
                 && !(request.suspect && worker.suspects > 0)
-        };
-        // Where the prompt is still cached, nothing is computed again.
-        let warm = self.runners().find(|worker| Some(&worker.spec.name) == request.warm.as_ref());
-        if let Some(worker) = warm.filter(has_room) {
-            return Some(worker);
-        }
-        let candidates = self.runners().filter(has_room);
+        });
         let chosen = self.least_loaded(now, candidates, request);
         chosen.or_else(|| {
             let backed_off = self.runners().filter(|worker| {
--- a/src/coordination/stream_origins.rs
+++ b/src/coordination/stream_origins.rs
@@ -5,7 +5,7 @@
 //! keep the origin of each stream; their number does not depend on the size of the deployment. See
 //! docs/DESIGN.md, "Software versions".
 
-use crate::coordination::messages::{OriginAgreement, StreamKey, StreamOrigin};
+use crate::coordination::messages::StreamOrigin;
 use crate::coordination::ownership::{origin_key, rank_daemons};
 use crate::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,12 +25,12 @@
 /// An origin to send to a daemon that should keep it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OriginCopy {
-    /// The key under which it is kept.
-    pub key: StreamKey,
     /// How long it is kept from now on.
     pub lifetime: Duration,
     /// The origin itself.
     pub origin: StreamOrigin,
+    /// The caller's id of the request that began the stream.
+    pub request: String,
     /// The daemon that should keep it.
     pub to: DaemonId,
 }
@@ -43,12 +43,12 @@
     origin: StreamOrigin,
 }
 
-/// The origins of streams that this daemon keeps.
+/// The origins of streams that this daemon keeps, by the caller's id of the request.
 #[derive(Debug, Default)]
 pub struct OriginBoard {
     daemons: DaemonDomains,
-    entries: BTreeMap<StreamKey, OriginEntry>,
-    expiry: BTreeSet<(Instant, StreamKey)>,
+    entries: BTreeMap<String, OriginEntry>,
+    expiry: BTreeSet<(Instant, String)>,
 }
 
 impl OriginBoard {
@@ -56,62 +56,50 @@
     pub fn record(
         &mut self,
         now: Instant,
-        key: &StreamKey,
+        request: &str,
         origin: StreamOrigin,
         lifetime: Duration,
     ) -> Vec<OriginCopy> {
-        let known = self.entries.get(key).map(|known| &known.origin);
-        if known.is_some_and(|known| {
-            known.request == origin.request && known.software == origin.software
-        }) {
+        let known = self.entries.get(request);
+        if known.is_some_and(|known| known.origin == origin) {
             return Vec::new();
         }
-        self.learn(now, key, origin, lifetime);
-        let Some(entry) = self.entries.get(key) else { return Vec::new() };
-        let copies = entry.holders.iter().map(|to| OriginCopy {
-            key: key.clone(),
+        self.learn(now, request, origin.clone(), lifetime);
+        let holders = self.entries.get(request).map(|entry| entry.holders.clone());
+        let copies = holders.unwrap_or_default().into_iter().map(|to| OriginCopy {
             lifetime,
-            origin: entry.origin.clone(),
-            to: to.clone(),
+            origin: origin.clone(),
+            request: request.to_owned(),
+            to,
         });
         copies.collect()
     }
 
     /// Records an origin that another daemon has sent.
-    pub fn learn(
-        &mut self,
-        now: Instant,
-        key: &StreamKey,
-        origin: StreamOrigin,
-        lifetime: Duration,
-    ) {
+    pub fn learn(&mut self, now: Instant, request: &str, origin: StreamOrigin, lifetime: Duration) {
         self.expire(now);
-        let holders = holders_of(key, &origin, &self.daemons);
-        let mut entry = OriginEntry { expires_at: now + lifetime, holders, origin };
-        if let Some(old) = self.entries.remove(key) {
-            self.expiry.remove(&(old.expires_at, key.clone()));
-            if matches!(key, StreamKey::Content(_)) {
-                entry.origin.agreement = merge_agreement(&old.origin, &entry.origin);
-                entry.expires_at = entry.expires_at.max(old.expires_at);
-            }
+        let holders = holders_of(request, &origin, &self.daemons);
+        let expires_at = now + lifetime;
+        let entry = OriginEntry { expires_at, holders, origin };
+        if let Some(old) = self.entries.insert(request.to_owned(), entry) {
+            self.expiry.remove(&(old.expires_at, request.to_owned()));
         }
-        self.expiry.insert((entry.expires_at, key.clone()));
-        self.entries.insert(key.clone(), entry);
+        self.expiry.insert((expires_at, request.to_owned()));
         while self.entries.len() > MAX_ORIGINS {
             self.drop_first();
         }
     }
 
-    /// Returns the origin of the stream with this key.
-    pub fn find(&self, now: Instant, key: &StreamKey) -> Option<&StreamOrigin> {
-        let entry = self.entries.get(key).filter(|entry| now < entry.expires_at)?;
+    /// Returns the origin of the stream that a request began.
+    pub fn find(&self, now: Instant, request: &str) -> Option<&StreamOrigin> {
+        let entry = self.entries.get(request).filter(|entry| now < entry.expires_at)?;
         Some(&entry.origin)
     }
 
     /// Returns the daemons to ask for an origin that this daemon, in the failure domain `domain`,
     /// does not keep.
-    pub fn daemons_to_ask(&self, key: &StreamKey, domain: &DomainName) -> BTreeSet<DaemonId> {
-        choose_daemons(key, domain, self.daemons.iter(), ASKED)
+    pub fn daemons_to_ask(&self, request: &str, domain: &DomainName) -> BTreeSet<DaemonId> {
+        choose_daemons(request, domain, self.daemons.iter(), ASKED)
     }
 
     /// Applies a change of the membership, and returns the copies for daemons that should keep an
@@ -122,7 +110,7 @@
             daemons.keys().filter(|daemon| !self.daemons.contains_key(daemon)).cloned().collect();
         self.daemons = daemons;
         let mut copies = Vec::new();
-        for (key, entry) in &mut self.entries {
+        for (request, entry) in &mut self.entries {
             let complete = entry.holders.iter().all(|holder| self.daemons.contains_key(holder));
             let holders = match (complete, joined.is_empty()) {
                 (true, true) => continue,
@@ -132,15 +120,15 @@
                         entry.holders.contains(daemon) || joined.contains(daemon)
                     });
                     let candidates = candidates.map(|(id, domain)| (id.clone(), domain.clone()));
-                    holders_of(key, &entry.origin, &candidates.collect())
+                    holders_of(request, &entry.origin, &candidates.collect())
                 }
-                (false, _) => holders_of(key, &entry.origin, &self.daemons),
+                (false, _) => holders_of(request, &entry.origin, &self.daemons),
             };
             let added = holders.difference(&entry.holders).cloned();
             copies.extend(added.map(|to| OriginCopy {
-                key: key.clone(),
                 lifetime: entry.expires_at.saturating_duration_since(now),
                 origin: entry.origin.clone(),
+                request: request.clone(),
                 to,
             }));
             entry.holders = holders;
@@ -165,46 +153,28 @@
     }
 
     fn drop_first(&mut self) {
-        if let Some((_, key)) = self.expiry.pop_first() {
-            self.entries.remove(&key);
+        if let Some((_, request)) = self.expiry.pop_first() {
+            self.entries.remove(&request);
         }
     }
 }
 
-/// Returns whether a key with these origins, the older one first, stands for one stream only.
-fn merge_agreement(old: &StreamOrigin, new: &StreamOrigin) -> OriginAgreement {
-    let is_same_stream = old.request == new.request;
-    let least = if is_same_stream { OriginAgreement::Sole } else { OriginAgreement::Shared };
-    let agreement = old.agreement.max(new.agreement).max(least);
-    let agrees = (&old.service, &old.software) == (&new.service, &new.software);
-    // Before its first event a stream may begin again at another version. Of several streams, the
-    // others stay at the earlier one.
-    match agrees || agreement == OriginAgreement::Sole {
-        true => agreement,
-        false => OriginAgreement::Contested,
-    }
-}
-
 /// Returns the daemons that should keep an origin besides the entry daemon.
-fn holders_of(
-    key: &StreamKey,
-    origin: &StreamOrigin,
-    daemons: &DaemonDomains,
-) -> BTreeSet<DaemonId> {
-    let others = daemons.iter().filter(|(daemon, _)| **daemon != origin.request.entry);
-    choose_daemons(key, &origin.domain, others, HOLDERS)
+fn holders_of(request: &str, origin: &StreamOrigin, daemons: &DaemonDomains) -> BTreeSet<DaemonId> {
+    let others = daemons.iter().filter(|(daemon, _)| **daemon != origin.entry);
+    choose_daemons(request, &origin.domain, others, HOLDERS)
 }
 
 /// Returns the first `count` daemons of a failure domain and the first `count` of all, ranked for
-/// a stream.
+/// a request.
 fn choose_daemons<'a>(
-    key: &StreamKey,
+    request: &str,
     domain: &DomainName,
     daemons: impl Iterator<Item = (&'a DaemonId, &'a DomainName)>,
     count: usize,
 ) -> BTreeSet<DaemonId> {
     let domains: BTreeMap<_, _> = daemons.collect();
-    let ranked = rank_daemons(&origin_key(key), domains.keys().copied());
+    let ranked = rank_daemons(&origin_key(request), domains.keys().copied());
     let local = ranked.iter().filter(|daemon| domains[*daemon] == domain).take(count);
     local.chain(ranked.iter().take(count)).map(|daemon| (*daemon).clone()).collect()
 }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -1,7 +1,6 @@
 //! Runs one accepted request through the request flow and builds its response.
 
-use crate::coordination::flow::{RequestSpec, ResumptionSpec};
-use crate::coordination::messages::{OriginReply, StreamKey};
+use crate::coordination::flow::RequestSpec;
 use crate::prelude::*;
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::gateway::dialect::InboundHead;
@@ -119,19 +118,15 @@
         let no_upstream = Refusal::not_run(RefusalReason::NoUpstream);
         let service = self.rule.select_service(rand::random()).cloned();
         let Some(mut service) = service else { return refusal_response(&no_upstream) };
-        let (mut software, mut warm) = (None, None);
+        let mut software = None;
         if self.rule.kind.is_stream() && self.inbound.head.resume_after > 0 {
-            let reply = self.find_origin(&service).await;
-            if let Some(origin) = reply.known {
-                if self.rule.has_target(&origin.service) {
-                    service = origin.service;
-                }
-                (software, warm) = (Some(origin.software), Some(origin.runner));
-            } else if let Some(version) = reply.sole_version {
-                software = Some(version);
-            } else {
+            let Some((began_at, version)) = self.find_origin(&service).await else {
                 return self.refuse_unknown_origin();
+            };
+            if self.rule.has_target(&began_at) {
+                service = began_at;
             }
+            software = Some(version);
         }
         if let Some(refusal) = self.gateway.refuse_while_quiet(&service) {
             return refusal_response(&refusal);
@@ -143,7 +138,7 @@
                 return refusal_response(&refusal);
             }
         };
-        let Some(spec) = self.build_spec(&service, software, warm) else {
+        let Some(spec) = self.build_spec(&service, software) else {
             self.into_log(charged).finish(ResponseOutcome::Refused(no_upstream));
             return refusal_response(&no_upstream);
         };
@@ -180,12 +175,14 @@
         }
     }
 
-    /// Returns what is known of the origin of the stream that the caller takes up.
-    async fn find_origin(&self, service: &ServiceName) -> OriginReply {
+    /// Returns the service and the software version at which the stream began that the caller takes
+    /// up.
+    async fn find_origin(&self, service: &ServiceName) -> Option<(ServiceName, SoftwareVersion)> {
         let window = origin_lifetime(&self.rule);
-        let named = self.inbound.head.resumes.clone().map(StreamKey::Request);
-        let key = named.unwrap_or_else(|| StreamKey::Content(self.content()));
-        self.gateway.node.find_origin(&key, service, window).await
+        let first = self.inbound.head.resumes.as_deref();
+        let reply = self.gateway.node.find_origin(first, service, window).await;
+        let known = reply.known.map(|origin| (origin.service, origin.software));
+        known.or_else(|| Some((service.clone(), reply.sole_version?)))
     }
 
     fn refuse_unknown_origin(self) -> Response<ResponseBody> {
@@ -224,41 +221,10 @@
         identity.map_or(&self.gateway.account, |identity| &identity.account.name).clone()
     }
 
-    /// Returns the digest by which the stream is recognized when its caller takes it up.
-    fn content(&self) -> Fingerprint {
-        let prompt = self.inbound.head.prompt.as_ref();
-        let prefix = prompt.map_or(&[][..], |prompt| &prompt.prefix);
-        let prefix: Vec<_> = prefix.iter().flat_map(|digest| digest.to_le_bytes()).collect();
-        let account = self.account();
-        let target = self.inbound.uri.path_and_query().map_or("", |target| target.as_str());
-        Fingerprint::of(&[
-            account.as_str().as_bytes(),
-            target.as_bytes(),
-            &prefix,
-            &self.inbound.body,
-        ])
-    }
-
-    /// Returns the failure domains to ask for upstreams: first the one of the upstream that may still
-    /// hold the KV cache, then this daemon's own.
-    fn domains_near(
-        &self,
-        template: &ServiceTemplate,
-        warm: Option<&UpstreamName>,
-    ) -> Vec<DomainName> {
-        let mut domains = self.gateway.candidate_domains(template);
-        let runner = template.upstreams.iter().find(|upstream| Some(&upstream.name) == warm);
-        if let Some(runner) = runner {
-            domains.sort_by_key(|domain| *domain != runner.domain);
-        }
-        domains
-    }
-
     fn build_spec(
         &self,
         service: &ServiceName,
         software: Option<SoftwareVersion>,
-        warm: Option<UpstreamName>,
     ) -> Option<RequestSpec> {
         let node = &self.gateway.node;
         let fleet = node.current_config();
@@ -291,7 +257,7 @@
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
             crash_weight,
             deadline: self.deadline,
-            domains: self.domains_near(template, warm.as_ref()),
+            domains: self.gateway.candidate_domains(template),
             prefill_retention: template.prefill_retention,
             fingerprint,
             first_index: *resume_after,
@@ -299,10 +265,7 @@
             id: node.next_request_id(),
             max_output,
             transfer_time: template.link_tokens_per_second.time_for(prompt_tokens),
-            resumption: self.rule.kind.is_resumable().then(|| ResumptionSpec {
-                content: self.content(),
-                lifetime: origin_lifetime(&self.rule),
-            }),
+            origin_lifetime: self.rule.kind.is_resumable().then(|| origin_lifetime(&self.rule)),
             outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
             part_verdict,
@@ -317,7 +280,6 @@
             software,
             stall_limit: stall_limit(&self.rule),
             urgency: self.urgency().unwrap_or_default(),
-            warm,
             tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
         })
     }
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -269,7 +269,7 @@
         prefix: prefix_digests(&prompt, template.block_tokens),
         prompt: length,
         max_output: limit,
-        resumption: None,
+        origin_lifetime: None,
         outlives_caller: false,
         retryable: true,
         progress_period: None,
@@ -279,7 +279,6 @@
         software: None,
         stall_limit: None,
         urgency: UrgencyRank::default(),
-        warm: None,
         tokens_per_index: 1,
     }
 }
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -244,7 +244,7 @@
         prefix: Vec::new(),
         prompt: Tokens(0),
         max_output: Tokens(0),
-        resumption: None,
+        origin_lifetime: None,
         outlives_caller: !retryable,
         retryable,
         progress_period: None,
@@ -254,7 +254,6 @@
         software: None,
         stall_limit: None,
         urgency: UrgencyRank::default(),
-        warm: None,
         tokens_per_index: 1,
     }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -255,11 +255,11 @@
             PeerMessage::CrashHistory { parts, requests } => {
                 self.merge_crash_history(&parts, &requests);
             }
-            PeerMessage::StreamOrigin { key, lifetime, origin } => {
-                self.keep_origin(&key, origin, lifetime);
+            PeerMessage::StreamOrigin { lifetime, origin, request } => {
+                self.keep_origin(&request, origin, lifetime);
             }
-            PeerMessage::FindOrigin { key, lookup, service, window } => {
-                let reply = self.known_origin(&key, &service, window);
+            PeerMessage::FindOrigin { lookup, request, service, window } => {
+                let reply = self.known_origin(Some(&request), &service, window);
                 self.send_to_daemon(&from, PeerMessage::FoundOrigin { lookup, reply });
             }
             PeerMessage::FoundOrigin { lookup, reply } => {
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -1,11 +1,10 @@
 //! Runs one request: passes events to its [`RequestFlow`] and executes the actions that it returns.
 
 use crate::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, ResumptionSpec, UpstreamFailure,
+    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
-    ClaimPhase, CrashReport, OriginAgreement, ReleaseOutcome, ShardMessage, SlotClaim, StreamKey,
-    StreamOrigin,
+    ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
 };
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
@@ -94,8 +93,7 @@
         accepted: now,
         claim: None,
         deadline: spec.deadline,
-        id: spec.id.clone(),
-        resumption: spec.resumption,
+        origin_lifetime: spec.origin_lifetime,
         events,
         flow: RequestFlow::new(now, spec),
         request_id: request_id.to_owned(),
@@ -133,8 +131,7 @@
     /// Whether a part could not be delivered, because the caller disconnected or stopped reading.
     delivery_failed: bool,
     node: Arc<DaemonNode>,
-    id: RequestId,
-    resumption: Option<ResumptionSpec>,
+    origin_lifetime: Option<Duration>,
     parts: Sender<ResponsePart>,
     prefilled: bool,
     prompt: Tokens,
@@ -272,18 +269,14 @@
 
     /// Tells other daemons which software version begins the stream, ahead of its first event.
     fn record_origin(&self) {
-        let Some(ResumptionSpec { content, lifetime }) = self.resumption else { return };
-        let Some(claim) = &self.claim else { return };
-        let origin = StreamOrigin {
-            agreement: OriginAgreement::Sole,
-            domain: self.node.settings.domain.clone(),
-            request: self.id.clone(),
-            runner: claim.runner.clone(),
-            service: self.service.clone(),
-            software: self.software.clone(),
-        };
-        for key in [StreamKey::Request(self.request_id.clone()), StreamKey::Content(content)] {
-            self.node.record_origin(&key, origin.clone(), lifetime);
+        if let Some(lifetime) = self.origin_lifetime {
+            let origin = StreamOrigin {
+                domain: self.node.settings.domain.clone(),
+                entry: self.node.me.clone(),
+                service: self.service.clone(),
+                software: self.software.clone(),
+            };
+            self.node.record_origin(&self.request_id, origin, lifetime);
         }
     }
 
--- a/src/transport/stream_origins.rs
+++ b/src/transport/stream_origins.rs
@@ -1,9 +1,7 @@
 //! Tells other daemons which software version began a stream, and asks them when a caller takes one
 //! up here.
 
-use crate::coordination::messages::{
-    MemberState, OriginAgreement, OriginReply, PeerMessage, StreamKey, StreamOrigin,
-};
+use crate::coordination::messages::{MemberState, OriginReply, PeerMessage, StreamOrigin};
 use crate::coordination::stream_origins::OriginCopy;
 use crate::prelude::*;
 use crate::transport::node::{DaemonNode, lock};
@@ -14,8 +12,6 @@
 /// How long other daemons are waited for. A caller that takes a stream up has been waiting for its
 /// next event since before that.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
-/// The same while the version is known, and only the upstream that holds the prompt is not.
-const RUNNER_LOOKUP_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// The questions to other daemons that are not answered yet.
 #[derive(Debug, Default)]
@@ -60,18 +56,18 @@
     /// Keeps the origin of a stream that begins here, and tells a few other daemons.
     pub fn record_origin(
         self: &Arc<Self>,
-        key: &StreamKey,
+        request: &str,
         origin: StreamOrigin,
         lifetime: Duration,
     ) {
         let now = self.clock.now();
-        let copies = lock(&self.origins).record(now, key, origin, lifetime);
+        let copies = lock(&self.origins).record(now, request, origin, lifetime);
         self.send_origins(copies);
     }
 
     /// Keeps an origin that another daemon has sent.
-    pub fn keep_origin(&self, key: &StreamKey, origin: StreamOrigin, lifetime: Duration) {
-        lock(&self.origins).learn(self.clock.now(), key, origin, lifetime);
+    pub fn keep_origin(&self, request: &str, origin: StreamOrigin, lifetime: Duration) {
+        lock(&self.origins).learn(self.clock.now(), request, origin, lifetime);
     }
 
     /// Sends the origins that daemons should keep since the membership has changed.
@@ -86,9 +82,9 @@
     }
 
     fn send_origins(self: &Arc<Self>, copies: Vec<OriginCopy>) {
-        for OriginCopy { key, lifetime, origin, to } in copies {
+        for OriginCopy { lifetime, origin, request, to } in copies {
             if to != self.me {
-                let message = PeerMessage::StreamOrigin { key, lifetime, origin };
+                let message = PeerMessage::StreamOrigin { lifetime, origin, request };
                 self.send_to_daemon(&to, message);
             }
         }
@@ -97,75 +93,56 @@
     /// Returns what this daemon itself knows of the origin of a stream.
     pub fn known_origin(
         &self,
-        key: &StreamKey,
+        request: Option<&str>,
         service: &ServiceName,
         window: Duration,
     ) -> OriginReply {
         let now = self.clock.now();
-        let known = lock(&self.origins).find(now, key).cloned();
+        let known = request.and_then(|request| lock(&self.origins).find(now, request).cloned());
         let sole_version = lock(&self.versions).sole_version(now, service, window);
         OriginReply { known, sole_version }
     }
 
-    /// Returns what is known of the origin of a stream that began at most `window` ago.
+    /// Returns what is known of the origin of a stream that the request with the caller's id
+    /// `request` began at most `window` ago.
     ///
-    /// A daemon that keeps the origin is believed, unless the key stands for streams of several
-    /// versions. If none does, a version counts as the origin if all daemons that have seen only one
-    /// have seen the same.
+    /// A daemon that keeps the origin is believed. If none does, a version counts as the origin if
+    /// all daemons that have seen only one have seen the same.
     pub async fn find_origin(
         self: &Arc<Self>,
-        key: &StreamKey,
+        request: Option<&str>,
         service: &ServiceName,
         window: Duration,
     ) -> OriginReply {
-        let own = self.known_origin(key, service, window);
-        let names_request = matches!(key, StreamKey::Request(_));
-        let version_is_known = !names_request && own.sole_version.is_some();
-        // The content may be that of several streams, of which other daemons know.
-        let first_suffices = names_request || version_is_known;
-        if own.known.is_some() && first_suffices {
-            return own;
-        }
-        let timeout = if version_is_known { RUNNER_LOOKUP_TIMEOUT } else { LOOKUP_TIMEOUT };
-        let asked = lock(&self.origins).daemons_to_ask(key, &self.settings.domain);
+        let own = self.known_origin(request, service, window);
+        let Some(request) = request.filter(|_| own.known.is_none()) else { return own };
+        let asked = lock(&self.origins).daemons_to_ask(request, &self.settings.domain);
         let (sender, mut replies) = mpsc::unbounded_channel();
         let lookup = lock(&self.origin_lookups).begin(sender);
         let _guard = LookupGuard { lookup, node: self };
         let others: Vec<_> = asked.into_iter().filter(|daemon| *daemon != self.me).collect();
         for daemon in &others {
-            let (key, service) = (key.clone(), service.clone());
-            let question = PeerMessage::FindOrigin { key, lookup, service, window };
+            let (request, service) = (request.to_owned(), service.clone());
+            let question = PeerMessage::FindOrigin { lookup, request, service, window };
             self.send_to_daemon(daemon, question);
         }
-        let mut versions: Vec<_> = own.sole_version.clone().into_iter().collect();
-        let mut known: Vec<_> = own.known.into_iter().collect();
+        let mut versions: Vec<_> = own.sole_version.into_iter().collect();
+        let mut known = None;
         let collect = async {
             for _ in &others {
                 let Some(reply) = replies.recv().await else { return };
                 versions.extend(reply.sole_version);
-                known.extend(reply.known);
-                if first_suffices && !known.is_empty() {
+                if reply.known.is_some() {
+                    known = reply.known;
                     return;
                 }
             }
         };
         // Daemons that do not answer in time know nothing that could be waited for.
-        let _ = tokio::time::timeout(timeout, collect).await;
+        let _ = tokio::time::timeout(LOOKUP_TIMEOUT, collect).await;
         versions.sort_unstable();
         versions.dedup();
-        let sole_version = match (version_is_known, versions.len()) {
-            (true, _) => own.sole_version,
-            (false, 1) => versions.pop(),
-            (false, _) => None,
-        };
-        OriginReply { known: agreed_origin(known), sole_version }
+        let sole_version = if versions.len() == 1 { versions.pop() } else { None };
+        OriginReply { known, sole_version }
     }
 }
-
-/// Returns the origin that all daemons name; `None` if it may be another stream's.
-fn agreed_origin(known: Vec<StreamOrigin>) -> Option<StreamOrigin> {
-    let begun_at = |origin: &StreamOrigin| (origin.service.clone(), origin.software.clone());
-    let agrees = known.windows(2).all(|pair| begun_at(&pair[0]) == begun_at(&pair[1]));
-    let is_contested = known.iter().any(|origin| origin.agreement == OriginAgreement::Contested);
-    known.into_iter().next().filter(|_| agrees && !is_contested)
-}
