Tell callers of refused take-ups when the origin can be known

Take-ups are refused as of unknown origin and told to come back after half a second, the default, when no host can know more; they come back and are refused again, while others wait for room.

--- a/src/coordination/software_versions.rs
+++ b/src/coordination/software_versions.rs
@@ -48,6 +48,26 @@
         }
     }
 
+    /// Returns how long it takes until [`VersionHistory::sole_version`] can name a version, if none comes
+    /// or goes meanwhile; `window` while several serve, as none of them need leave.
+    pub fn time_to_sole_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        window: Duration,
+    ) -> Duration {
+        let Some(since) = self.complete_since else { return window };
+        let complete_at = if self.first_start { now } else { since + window };
+        let versions = self.versions.get(service).into_iter().flatten();
+        let serving = versions.clone().filter(|(_, gone_at)| gone_at.is_none()).count();
+        if serving > 1 {
+            return window;
+        }
+        let ends = versions.filter_map(|(_, gone_at)| Some((*gone_at)? + window));
+        let last = ends.chain([complete_at]).max().unwrap_or(now);
+        last.saturating_duration_since(now)
+    }
+
     /// Returns the only software version that any stream of the service can have begun at within
     /// the last `window`; `None` if there were several, or if this daemon cannot know.
     pub fn sole_version(
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -121,7 +121,7 @@
         let mut software = None;
         if self.rule.kind.is_stream() && self.inbound.head.resume_after > 0 {
             let Some((began_at, version)) = self.find_origin(&service).await else {
-                return self.refuse_unknown_origin();
+                return self.refuse_unknown_origin(&service);
             };
             if self.rule.has_target(&began_at) {
                 service = began_at;
@@ -185,9 +185,14 @@
         known.or_else(|| Some((service.clone(), reply.sole_version?)))
     }
 
-    fn refuse_unknown_origin(self) -> Response<ResponseBody> {
+    /// Refuses a stream of unknown origin. Before the time that is named, no host knows more.
+    fn refuse_unknown_origin(self, service: &ServiceName) -> Response<ResponseBody> {
         counter!("apricotrun_unknown_origins_total").increment(1);
-        let refusal = Refusal::not_run(RefusalReason::OriginUnknown);
+        let (now, window) = (self.gateway.node.clock.now(), origin_lifetime(&self.rule));
+        let versions = lock(&self.gateway.node.versions);
+        let wait = versions.time_to_sole_version(now, service, window);
+        drop(versions);
+        let refusal = Refusal::not_run(RefusalReason::OriginUnknown).with_retry_after(wait);
         self.into_log(None).finish(ResponseOutcome::Refused(refusal));
         refusal_response(&refusal)
     }
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -178,6 +178,27 @@
     assert_eq!(sole(&history, now + SECOND + LIFETIME), Some(v2));
 }
 
+/// Callers whose take-up is refused must not be told to come back before any daemon knows more.
+#[test]
+fn time_until_the_version_is_known_covers_everything_that_is_missing() {
+    let now = Instant::now();
+    let mut history = VersionHistory::default();
+    let (v1, v2) = (version("v1"), version("v2"));
+    let time =
+        |history: &VersionHistory, at| history.time_to_sole_version(at, &service(), LIFETIME);
+    history.observe(now, &service(), [&v1].into_iter());
+    assert_eq!(time(&history, now), LIFETIME, "the records have not been read");
+    history.set_readable(now, true);
+    assert_eq!(time(&history, now + SECOND), LIFETIME - SECOND);
+    history.observe(now + SECOND, &service(), [&v1, &v2].into_iter());
+    assert_eq!(time(&history, now + SECOND * 5), LIFETIME, "two versions serve");
+    history.observe(now + SECOND * 6, &service(), [&v2].into_iter());
+    let left = time(&history, now + SECOND * 10);
+    assert_eq!(left, LIFETIME - SECOND * 4, "streams of v1 may be left");
+    let known = |at| history.sole_version(at, &service(), LIFETIME);
+    assert_eq!(known(now + SECOND * 10 + left), Some(v2));
+}
+
 #[test]
 fn version_is_not_known_while_records_cannot_be_read() {
     let now = Instant::now();
