Owners decide when model work leaves the failure domain, and how much

What callers saw: under load each request asked the owners of all failure domains in a fixed order and then one of them every 150 ms. It left as soon as its own domain was full for a moment, always to the same neighbour; streams crossed domains for nothing, and retries of prompts at engines that had just been filled were read in vain.

Ruled out: a fixed penalty for engines elsewhere (two owners would fill the same memory); room known to every host (grows with the hosts).

Change: owners tell each other how many requests could start (RoomReport, as many messages as there are failure domains). A request waits at home, leaves when its wait exceeds leaving_cost_ms, and only as many leave as the other domain has room for. In force where the settings say so, where callers compete for too little room, and where upstreams report the speed of their machines; other deployments are served as before.

--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -28,6 +28,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// The interval between probes of other failure domains while the request is queued in one.
 const PROBE_PERIOD: Duration = Duration::from_millis(150);
+/// The same while the owner says when to ask another failure domain; it may have fallen silent.
+const GUIDED_PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// The crash weight from which every daemon refuses a request.
 pub const MAX_CRASH_WEIGHT: u32 = 3;
 
@@ -59,8 +61,10 @@
 }
 
 /// How a request seeks admission.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum AdmissionMode {
+    /// Asks one other failure domain, and is refused if that has no room.
+    Leaving(Refusal),
     /// Probes one failure domain after another for an upstream with free capacity.
     Probing,
     /// Waits in the queue of one failure domain and probes the others periodically.
@@ -69,6 +73,8 @@
         last_probed: usize,
         /// When the next failure domain is probed.
         next_probe: Instant,
+        /// The interval between two probes.
+        period: Duration,
     },
 }
 
@@ -282,7 +288,7 @@
         self.domain_index = domain;
         let single_domain = self.spec.domains.len() == 1;
         let next_probe = if single_domain { self.spec.deadline } else { now + PROBE_PERIOD };
-        let mode = AdmissionMode::Queued { last_probed: 0, next_probe };
+        let mode = AdmissionMode::Queued { last_probed: 0, next_probe, period: PROBE_PERIOD };
         let next_send = now + ADMISSION_RETRY;
         self.stage = FlowStage::Admission { since: now, acknowledged: false, next_send, mode };
         self.send_admission_request(now, self.domain_index, false, out);
@@ -341,7 +347,7 @@
 
     fn resend_admission_request(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         let FlowStage::Admission { next_send, mode, .. } = &mut self.stage else { return };
-        let fail_fast = *mode == AdmissionMode::Probing;
+        let fail_fast = !matches!(mode, AdmissionMode::Queued { .. });
         // While probing, the timer runs on: changing owners must not delay the next probe.
         if !fail_fast {
             *next_send = now + ADMISSION_RETRY;
@@ -373,6 +379,22 @@
                     self.open_response(out);
                 }
             }
+            ShardMessage::Waiting(attempt) if self.is_current(&attempt) => {
+                self.wait_in(now, &domain, out);
+            }
+            ShardMessage::TryDomain(attempt, other) if self.is_current(&attempt) => {
+                let queued = matches!(
+                    self.stage,
+                    FlowStage::Admission { mode: AdmissionMode::Queued { .. }, .. }
+                );
+                let index = self.spec.domains.iter().position(|known| *known == other);
+                if let Some(index) = index.filter(|_| queued) {
+                    self.send_admission_request(now, index, true, out);
+                }
+            }
+            ShardMessage::RefuseHere(attempt, refusal, other) if self.is_current(&attempt) => {
+                self.leave_or_refuse(now, refusal, other, out);
+            }
             ShardMessage::FirstTokenDue(attempt, within) if self.is_current(&attempt) => {
                 self.spec.first_token_due = now + within;
             }
@@ -383,6 +405,44 @@
         }
     }
 
+    /// Waits in the queue of the owner that says when to ask another failure domain.
+    fn wait_in(&mut self, now: Instant, domain: &DomainName, out: &mut Vec<FlowAction>) {
+        let index = self.spec.domains.iter().position(|known| known == domain);
+        let (FlowStage::Admission { since, .. }, Some(index)) = (&self.stage, index) else {
+            return;
+        };
+        let single_domain = self.spec.domains.len() == 1;
+        let period = GUIDED_PROBE_PERIOD;
+        let next_probe = if single_domain { self.spec.deadline } else { now + period };
+        let mode = AdmissionMode::Queued { last_probed: 0, next_probe, period };
+        self.domain_index = index;
+        let (since, next_send) = (*since, now + QUEUED_RETRY);
+        self.stage = FlowStage::Admission { since, next_send, acknowledged: true, mode };
+        self.open_response(out);
+    }
+
+    /// Asks the failure domain that may have room, and ends the request if there is none.
+    fn leave_or_refuse(
+        &mut self,
+        now: Instant,
+        refusal: Refusal,
+        domain: Option<DomainName>,
+        out: &mut Vec<FlowAction>,
+    ) {
+        let FlowStage::Admission { since, acknowledged, .. } = &self.stage else { return };
+        let other =
+            domain.and_then(|domain| self.spec.domains.iter().position(|known| *known == domain));
+        let Some(index) = other else {
+            self.withdraw(out);
+            return self.refuse(refusal, out);
+        };
+        let (since, acknowledged, next_send) = (*since, *acknowledged, now + PROBE_TIMEOUT);
+        let mode = AdmissionMode::Leaving(refusal);
+        self.domain_index = index;
+        self.stage = FlowStage::Admission { since, next_send, acknowledged, mode };
+        self.send_admission_request(now, index, true, out);
+    }
+
     fn open_response(&mut self, out: &mut Vec<FlowAction>) {
         if !self.response_opened {
             self.response_opened = true;
@@ -398,6 +458,7 @@
         out: &mut Vec<FlowAction>,
     ) {
         let FlowStage::Admission { mode, .. } = &self.stage else { return };
+        let mode = *mode;
         let current_domain = self.spec.domains.get(self.domain_index);
         let other_domain_may_admit = matches!(
             refusal.reason,
@@ -407,7 +468,10 @@
             // The answer to a probe; the request stays in the queue where it is.
             return;
         }
-        if *mode == AdmissionMode::Probing && other_domain_may_admit && now < self.spec.deadline {
+        if let AdmissionMode::Leaving(refusal) = mode {
+            return self.refuse(refusal, out);
+        }
+        if mode == AdmissionMode::Probing && other_domain_may_admit && now < self.spec.deadline {
             return self.probe_next_domain(now, out);
         }
         let next_domain = self.domain_index + 1;
@@ -493,10 +557,10 @@
         }
         match &mut self.stage {
             FlowStage::Admission {
-                mode: AdmissionMode::Queued { last_probed, next_probe },
+                mode: AdmissionMode::Queued { last_probed, next_probe, period },
                 ..
             } if *next_probe <= now => {
-                *next_probe = now + PROBE_PERIOD;
+                *next_probe = now + *period;
                 *last_probed = *last_probed % (self.spec.domains.len() - 1) + 1;
                 let domain = *last_probed;
                 self.send_admission_request(now, domain, true, out);
@@ -505,6 +569,10 @@
             FlowStage::Admission { mode: AdmissionMode::Probing, .. } => {
                 self.probe_next_domain(now, out)
             }
+            FlowStage::Admission { mode: AdmissionMode::Leaving(refusal), .. } => {
+                let refusal = *refusal;
+                self.refuse(refusal, out);
+            }
             FlowStage::Admission { since, acknowledged: false, .. }
                 if now >= *since + OWNER_TIMEOUT =>
             {
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::coordination::allotments::AllotmentMessage;
 use crate::coordination::freshness::FreshnessRecord;
-use crate::coordination::shard::{RequestStats, UpstreamNews};
+use crate::coordination::shard::{RequestStats, RoomReport, UpstreamNews};
 use crate::coordination::store::StoreEra;
 use crate::prelude::*;
 use crate::state::fleet::{DocumentName, StoredDocument};
@@ -141,6 +141,14 @@
     Grant(GrantMessage),
     /// Owner to entry daemon: the admission request is queued.
     Queued(AttemptId),
+    /// Owner to entry daemon of its own failure domain: the admission request is queued, and
+    /// [`ShardMessage::TryDomain`] says when to ask elsewhere.
+    Waiting(AttemptId),
+    /// Owner to entry daemon: another failure domain may have room for the queued attempt.
+    TryDomain(AttemptId, DomainName),
+    /// Owner to entry daemon of its own failure domain: the admission request is refused, unless the
+    /// failure domain, if there is one, has room.
+    RefuseHere(AttemptId, Refusal, Option<DomainName>),
     /// Owner to entry daemon: the request was refused before, so its first token is due sooner,
     /// within this time.
     FirstTokenDue(AttemptId, Duration),
@@ -166,6 +174,9 @@
     /// Owner to the owner of the same service in another failure domain: statistics of the requests
     /// in the sender's domain.
     Stats(DomainName, RequestStats),
+    /// Owner to the owner of the same service in another failure domain: the room in the sender's
+    /// domain.
+    Room(DomainName, RoomReport),
     /// Entry daemon to owner and backups: the upstream of this incarnation has said that it is
     /// about to stop.
     Leaving(UpstreamName, Incarnation),
--- a/src/coordination/shard/estimate.rs
+++ b/src/coordination/shard/estimate.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Returns the average prompt and the expected output of a request.
+    pub fn typical_request(&self) -> (Tokens, Tokens) {
+        (self.prompt.rounded(), self.expected_output(self.output_hint.rounded()))
+    }
+
     /// Returns this shard's statistics. `open` gives the durations so far of the runs in progress.
     pub fn request_stats(&self, open: impl Iterator<Item = Duration>) -> RequestStats {
         let mut runs = self.runs.clone();
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -3,12 +3,14 @@
 mod admission;
 mod claims;
 mod events;
+mod leaving;
 
 pub use events::{ShardAction, ShardEvent, ShardRole, ShardStatus, UpstreamStatus};
 
 use crate::coordination::messages::{ShardMessage, SlotClaim};
 use crate::coordination::roles::RequestShape;
 use crate::coordination::shard::estimate::{LoadEstimate, RequestStats};
+use crate::coordination::shard::leaving::LeavingBoard;
 use crate::coordination::shard::pool::{GrowthRate, UpstreamNews, WorkerPool};
 use crate::coordination::shard::prefixes::PrefixIndex;
 use crate::coordination::shard::queue::FairQueue;
@@ -27,7 +29,10 @@
     domain: DomainName,
     estimate: LoadEstimate,
     quotas: BTreeMap<AccountName, AccountQuota>,
+    leaving: LeavingBoard,
     live: BTreeSet<DaemonId>,
+    /// The live daemons of this failure domain.
+    local: BTreeSet<DaemonId>,
     pool: WorkerPool,
     prefixes: PrefixIndex,
     queue: FairQueue,
@@ -47,7 +52,9 @@
             domain,
             estimate: LoadEstimate::default(),
             quotas: BTreeMap::new(),
+            leaving: LeavingBoard::default(),
             live: BTreeSet::new(),
+            local: BTreeSet::new(),
             pool: WorkerPool::default(),
             prefixes: PrefixIndex::default(),
             queue: FairQueue::default(),
@@ -97,6 +104,8 @@
             // capacity; only overload refuses it.
             self.schedule(now, &mut actions);
             self.refuse_expired(now, &mut actions);
+            self.advise_waiting(now, &mut actions);
+            self.report_room(now, &mut actions);
             self.cancel_orphans(now, &mut actions);
         }
         actions
@@ -209,6 +218,7 @@
         }
         self.role = role;
         self.live = live;
+        self.local = local.clone();
         self.queue.retain_entries(&self.live);
         for entry in self.pool.entries_with_claims() {
             if !self.live.contains(&entry) {
@@ -276,6 +286,9 @@
             ShardMessage::Stats(domain, stats) if domain != self.domain => {
                 self.domain_stats.insert(domain, stats);
             }
+            ShardMessage::Room(domain, report) if domain != self.domain => {
+                self.leaving.record(now, domain, report);
+            }
             ShardMessage::Leaving(upstream, incarnation) => {
                 self.pool.mark_leaving(&upstream, incarnation);
                 self.refuse_unservable(actions);
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -72,11 +72,18 @@
         }
         let quota = self.quotas[&request.account];
         let queue_timeout = self.queue_timeout(&template, &request);
-        let waiting =
-            WaitingRequest { from: from.clone(), latest_start: now + queue_timeout, request };
+        let waiting = WaitingRequest {
+            from: from.clone(),
+            latest_start: now + queue_timeout,
+            leaves_at: None,
+            request,
+        };
         if let Some(granted) = self.try_grant_now(now, &template, &quota, &waiting) {
             return Some(ShardMessage::Grant(granted));
         }
+        if let Some(cost) = self.leaving_cost(now, from) {
+            return Some(self.keep_or_refuse(now, &template, &quota, waiting, cost));
+        }
         if waiting.request.fail_fast {
             let refusal = Refusal::not_run(RefusalReason::Overloaded);
             return Some(ShardMessage::Refuse(attempt, refusal));
@@ -157,20 +164,28 @@
         if !self.may_grant(now) || waiting.request.resuming {
             return None;
         }
-        let account = &waiting.request.account;
+        let wait = self.expected_wait(now, template, waiting);
+        if wait <= waiting.latest_start.saturating_duration_since(now) {
+            return None;
+        }
+        let after = self.reserve_retry(now, template, waiting);
+        Some(Refusal::not_run(RefusalReason::Overloaded).with_retry_after(after))
+    }
+
+    /// Returns how long a request has to wait, with those that go first.
+    pub(super) fn expected_wait(
+        &self,
+        now: Instant,
+        template: &ServiceTemplate,
+        waiting: &WaitingRequest,
+    ) -> Duration {
         let rate = self.account_rate(now, template, waiting);
         let unreserved = match waiting.request.returning {
             true => 1.0,
-            false => self.retry_schedule.unreserved_fraction(now, account),
+            false => self.retry_schedule.unreserved_fraction(now, &waiting.request.account),
         };
         let ahead = self.queue.requests_ahead(waiting) as f64 + 1.0;
-        let wait = ahead / (rate * unreserved).max(0.001);
-        let queue_timeout = waiting.latest_start.saturating_duration_since(now);
-        if wait <= queue_timeout.as_secs_f64() {
-            return None;
-        }
-        let after = self.reserve_retry(now, template, waiting);
-        Some(Refusal::not_run(RefusalReason::Overloaded).with_retry_after(after))
+        Duration::from_secs_f64(ahead / (rate * unreserved).max(0.001))
     }
 
     /// Returns how many requests per second the shard can start for an account.
@@ -350,6 +365,13 @@
         }
     }
 
+    /// Returns the KV-cache blocks that a request of average size needs.
+    pub(super) fn typical_need(&self, template: &ServiceTemplate) -> MemoryNeed {
+        let (prompt, output) = self.estimate.typical_request();
+        let blocks = |tokens: Tokens| tokens.kv_blocks(template.block_tokens);
+        MemoryNeed { output: blocks(output), prompt: blocks(prompt) }
+    }
+
     /// Returns the KV-cache blocks that a request is charged for: its prompt plus the output that
     /// its caller expects (the longest one if the caller gave no hint) or, if memory is forecast
     /// over time, the output that the shard expects.
--- a/src/coordination/shard/ledger/events.rs
+++ b/src/coordination/shard/ledger/events.rs
@@ -57,6 +57,8 @@
     Cancel(UpstreamSpec, AttemptId),
     /// Send the message to the daemon.
     Send(DaemonId, ShardMessage),
+    /// Send the message to the owner of the same service in another failure domain.
+    SendToOwner(DomainName, ShardMessage),
 }
 
 /// One upstream in the status report.
--- /dev/null
+++ b/src/coordination/shard/ledger/leaving.rs
@@ -0,0 +1,81 @@
+//! Requests that leave the failure domain, as its owner decides.
+
+use super::{ShardAction, ShardLedger};
+use crate::coordination::messages::ShardMessage;
+use crate::coordination::shard::leaving::RoomReport;
+use crate::coordination::shard::queue::WaitingRequest;
+use crate::prelude::*;
+use crate::state::fleet::AccountQuota;
+use std::collections::BTreeSet;
+
+/// The maximum number of waiting requests that are considered at a time.
+const MAX_ADVISED: usize = 16;
+
+impl ShardLedger {
+    /// Returns the cost of leaving if this owner decides when requests of an entry daemon leave; `None`
+    /// if the entry daemon asks other failure domains by itself.
+    pub(super) fn leaving_cost(&self, now: Instant, from: &DaemonId) -> Option<Duration> {
+        let cost = self.template.as_ref()?.leaving_cost?;
+        (self.local.contains(from) && self.leaving.is_informed(now)).then_some(cost)
+    }
+
+    /// Queues a request of this failure domain that finds no room, or refuses it if it could not start
+    /// in time. [`ShardLedger::advise_waiting`] says later whether it leaves.
+    pub(super) fn keep_or_refuse(
+        &mut self,
+        now: Instant,
+        template: &ServiceTemplate,
+        quota: &AccountQuota,
+        waiting: WaitingRequest,
+        cost: Duration,
+    ) -> ShardMessage {
+        let attempt = waiting.request.attempt.clone();
+        let is_late = waiting.request.is_late();
+        if let Some(refusal) = self.refuse_if_too_late(now, template, &waiting) {
+            // Requests that are late already use spare capacity only, which is not reported.
+            let domain = if is_late { None } else { self.leaving.choose(now, &attempt) };
+            return ShardMessage::RefuseHere(attempt, refusal, domain);
+        }
+        let expected = self.expected_wait(now, template, &waiting);
+        let leaves_at = if expected > cost { now } else { now + cost };
+        let waiting = WaitingRequest { leaves_at: (!is_late).then_some(leaves_at), ..waiting };
+        self.queue.push(waiting, quota);
+        ShardMessage::Waiting(attempt)
+    }
+
+    /// Names another failure domain to the waiting requests for which leaving pays now, as long as
+    /// there is room.
+    pub(super) fn advise_waiting(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        let pays = |waiting: &&WaitingRequest| waiting.leaves_at.is_some_and(|at| at <= now);
+        let leaving = self.queue.by_expiry().filter(pays).take(MAX_ADVISED);
+        let leaving: Vec<_> = leaving
+            .map(|waiting| (waiting.from.clone(), waiting.request.attempt.clone()))
+            .collect();
+        for (from, attempt) in leaving {
+            if let Some(domain) = self.leaving.choose(now, &attempt) {
+                let advice = ShardMessage::TryDomain(attempt, domain);
+                actions.push(ShardAction::Send(from, advice));
+            }
+        }
+    }
+
+    /// Tells the owners in other failure domains how much room there is here.
+    pub(super) fn report_room(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
+        let Some(template) = self.template.clone().filter(|t| t.leaving_cost.is_some()) else {
+            return;
+        };
+        let has_room = self.may_grant(now) && self.queue.on_time_len() == 0;
+        let need = self.typical_need(&template);
+        let starts = if has_room { self.pool.starts(now, need) } else { 0 };
+        let report = RoomReport { starts };
+        if !self.leaving.is_report_due(now, report) {
+            return;
+        }
+        let upstreams = template.upstreams.iter();
+        let others = upstreams.map(|upstream| &upstream.domain).filter(|d| **d != self.domain);
+        for domain in others.collect::<BTreeSet<_>>() {
+            let message = ShardMessage::Room(self.domain.clone(), report);
+            actions.push(ShardAction::SendToOwner(domain.clone(), message));
+        }
+    }
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -6,6 +6,7 @@
 
 mod estimate;
 mod forecast;
+mod leaving;
 mod ledger;
 mod lifetimes;
 mod pool;
@@ -17,6 +18,7 @@
 
 pub use estimate::RequestStats;
 pub use forecast::{RunForecast, peak};
+pub use leaving::{LeavingBoard, RoomReport};
 pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
 pub use lifetimes::LifeTable;
 pub use pool::{LoadReport, MAX_NEWS, SlownessPercent, UpstreamNews};
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -60,6 +60,16 @@
         })
     }
 
+    /// Returns at how many engines one more request of this size could start now.
+    pub fn starts(&self, now: Instant, need: MemoryNeed) -> u32 {
+        let has_room = |worker: &&PoolWorker| {
+            worker.is_usable(now)
+                && worker.slots < worker.spec.slots.0
+                && self.has_memory(now, worker, need, false)
+        };
+        self.runners().filter(has_room).count() as u32
+    }
+
     fn choose_runner(
         &self,
         now: Instant,
--- a/src/coordination/shard/queue.rs
+++ b/src/coordination/shard/queue.rs
@@ -23,6 +23,8 @@
     /// When the request expires: the latest start that still meets its first-token target or, if
     /// it has missed that, the end of its wait for spare capacity.
     pub latest_start: Instant,
+    /// From when on leaving the failure domain pays; `None` if the request does not leave it.
+    pub leaves_at: Option<Instant>,
 }
 
 /// Orders the requests of one account.
@@ -221,6 +223,18 @@
         self.index.len()
     }
 
+    /// Returns how many waiting requests can still meet their first-token targets.
+    pub fn on_time_len(&self) -> usize {
+        self.accounts.values().map(|account| account.waiting.len() - account.late).sum()
+    }
+
+    /// Returns the waiting requests, the one that expires first ahead.
+    pub fn by_expiry(&self) -> impl Iterator<Item = &WaitingRequest> {
+        let place = |(_, attempt): &(Instant, AttemptId)| self.index.get(attempt);
+        let places = self.expiry.iter().filter_map(place);
+        places.filter_map(|(account, key)| self.accounts.get(account)?.waiting.get(key))
+    }
+
     /// Drops all requests; the entry daemons send them again to the next owner.
     pub fn clear(&mut self) {
         *self = Self { sequence: self.sequence, ..Self::default() };
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -174,6 +174,11 @@
     #[serde(rename = "first_token_target_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub first_token_target: Duration,
+    /// How much longer a request may wait for engines before it leaves the failure domain, in
+    /// milliseconds. When given, the owner decides which requests leave.
+    #[serde(default, rename = "leaving_cost_ms")]
+    #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
+    pub leaving_cost: Option<Duration>,
     /// The transfer rate of the link into one decode worker; zero for no limit.
     #[serde(default)]
     pub link_tokens_per_second: TokenRate,
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -35,3 +35,4 @@
 };
 pub use roles::RoleClient;
 pub use start::{AccountSettings, GatewaySettings, GatewaySetup, SettingsReader, run_gateway};
+pub use templates::DEFAULT_LEAVING_COST;
--- a/src/transport/gateway/notices.rs
+++ b/src/transport/gateway/notices.rs
@@ -11,6 +11,7 @@
 use crate::transport::node::lock;
 use metrics::counter;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 impl Gateway {
     /// Checks that an upstream may be sent a request now, and returns its incarnation. The request
@@ -84,6 +85,9 @@
         report: LoadReport,
         kind: ResponseKind,
     ) {
+        if !self.speeds_reported.swap(true, Ordering::Relaxed) {
+            self.configure();
+        }
         let service = lock(&self.registry).service_of(name);
         let Some(service) = service else { return };
         if self.remote_cost.is_none() || self.node.placement_of(&service) != PlacementScope::Entry {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -84,6 +84,9 @@
     /// Whether the whole deployment starts for the first time. Otherwise a host that finds no
     /// other registered one has to wait, since the store may have lost their registrations.
     pub first_start: bool,
+    /// How much longer a request may wait for engines before it leaves the failure domain. Absent: a
+    /// default where upstreams report the speed of their machines, and as before elsewhere.
+    pub leaving_cost: Option<Duration>,
     /// The address that serves metrics in the Prometheus format.
     pub metrics: SocketAddr,
     /// How soon a change must be in force after the store has confirmed it.
@@ -143,6 +146,10 @@
     pub node: Arc<DaemonNode>,
     /// How much longer a plain call may wait before it leaves the failure domain.
     pub(super) remote_cost: Option<Duration>,
+    /// How much longer a request may wait for engines before it leaves the failure domain.
+    pub(super) leaving_cost: Option<Duration>,
+    /// Whether any upstream has reported the speed of its machine.
+    pub(super) speeds_reported: AtomicBool,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub(super) uses_urgency: bool,
     /// How many bytes of a stream are held for its caller; `None` without a bound.
@@ -370,6 +377,8 @@
         has_readable_routes: AtomicBool::new(true),
         propagation_limit: settings.propagation_limit,
         remote_cost: settings.remote_cost,
+        leaving_cost: settings.leaving_cost,
+        speeds_reported: AtomicBool::new(false),
         stream_window: settings.stream_window,
         uses_urgency: settings.uses_urgency,
         node,
--- a/src/transport/gateway/templates.rs
+++ b/src/transport/gateway/templates.rs
@@ -19,7 +19,19 @@
 /// The largest number of requests that wait in one shard.
 const MAX_WAITING: u32 = 1000;
 
+/// How much longer a request may wait for engines before it leaves the failure domain, where the settings
+/// do not say. A tenth of the usual first-token target: a wait this long makes no request late.
+pub const DEFAULT_LEAVING_COST: Duration = Duration::from_millis(100);
+
 impl Gateway {
+    /// Returns the cost of leaving the failure domain for model work; `None` where requests are placed
+    /// without it.
+    fn leaving_cost(&self) -> Option<Duration> {
+        let reports_speeds = self.speeds_reported.load(Ordering::Relaxed);
+        let by_default = self.remote_cost.filter(|_| reports_speeds);
+        self.leaving_cost.or_else(|| by_default.map(|_| DEFAULT_LEAVING_COST))
+    }
+
     /// Returns the failure domains whose owners are asked for upstreams of a service, starting with
     /// this daemon's own.
     pub fn candidate_domains(&self, template: &ServiceTemplate) -> Vec<DomainName> {
@@ -43,7 +55,8 @@
             let now = self.node.clock.now();
             let build = |(name, service)| {
                 let template = build_template(now, name, service, &registry);
-                ServiceTemplate { remote_cost: self.remote_cost, ..template }
+                let leaving_cost = self.leaving_cost().filter(|_| service.engine.is_some());
+                ServiceTemplate { leaving_cost, remote_cost: self.remote_cost, ..template }
             };
             services.map(build).collect()
         };
@@ -100,6 +113,7 @@
         local_prefill: engine.is_some(),
         prefill_retention: engine.map_or(Duration::ZERO, |engine| engine.prefill_retention),
         first_token_target: Duration::MAX,
+        leaving_cost: None,
         link_tokens_per_second: rate(|engine| engine.link_rate),
         models: BTreeSet::new(),
         non_idempotent: Vec::new(),
--- a/src/transport/log_limiter.rs
+++ b/src/transport/log_limiter.rs
@@ -33,6 +33,8 @@
     FirstToken,
     /// A request was granted slots at upstreams.
     Granted,
+    /// A request was advised to leave the failure domain.
+    Leaving,
     /// An upstream failed while serving a request.
     Lost,
     /// A daemon joined, started to drain, or is suspected or dead.
@@ -51,6 +53,7 @@
             | Self::Answered
             | Self::FirstToken
             | Self::Granted
+            | Self::Leaving
             | Self::Members => ROUTINE_LINES,
             Self::CallerLeft | Self::Lost | Self::Refused | Self::Unserved => FAILURE_LINES,
         }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -293,6 +293,9 @@
             }
             ShardMessage::FirstTokenDue(ref attempt, _)
             | ShardMessage::Queued(ref attempt)
+            | ShardMessage::RefuseHere(ref attempt, ..)
+            | ShardMessage::TryDomain(ref attempt, _)
+            | ShardMessage::Waiting(ref attempt)
             | ShardMessage::Refuse(ref attempt, _) => {
                 let attempt = attempt.clone();
                 self.send_flow_event(&attempt, FlowEvent::OwnerMessage(domain, message));
--- a/src/transport/shards.rs
+++ b/src/transport/shards.rs
@@ -5,6 +5,7 @@
 use crate::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus};
 use crate::prelude::*;
 use crate::state::fleet::AccountQuota;
+use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::{DaemonNode, SHARD_REPLICAS, lock};
 use metrics::{counter, gauge};
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,10 +68,14 @@
     fn execute_shard_action(self: &Arc<Self>, service: &ServiceName, action: ShardAction) {
         match action {
             ShardAction::Send(to, message) => {
+                self.log_advice(service, &message);
                 let domain = self.settings.domain.clone();
                 let service = service.clone();
                 self.send_to_daemon(&to, PeerMessage::Shard { service, domain, message });
             }
+            ShardAction::SendToOwner(domain, message) => {
+                self.send_to_owner(service, &domain, message);
+            }
             ShardAction::Cancel(spec, attempt) => {
                 let node = self.clone();
                 let service = service.clone();
@@ -79,6 +84,22 @@
         }
     }
 
+    /// Logs and counts that a request is advised to leave the failure domain.
+    fn log_advice(&self, service: &ServiceName, message: &ShardMessage) {
+        let (attempt, domain, is_refused) = match message {
+            ShardMessage::TryDomain(attempt, domain) => (attempt, domain, false),
+            ShardMessage::RefuseHere(attempt, _, Some(domain)) => (attempt, domain, true),
+            _ => return,
+        };
+        counter!("apricotrun_leaving_advice_total", "to" => domain.to_string()).increment(1);
+        if self.log_limiter.permits(DecisionKind::Leaving) {
+            log::info!(
+                service:% = service, id:% = attempt, to:% = domain, refused = is_refused;
+                "shard: another failure domain may have room"
+            );
+        }
+    }
+
     async fn cancel_orphan(
         self: &Arc<Self>,
         service: &ServiceName,
--- a/standins/src/fixtures.rs
+++ b/standins/src/fixtures.rs
@@ -31,6 +31,7 @@
         local_prefill: false,
         prefill_retention: Duration::from_millis(800),
         first_token_target: Duration::from_secs(2),
+        leaving_cost: None,
         link_tokens_per_second: TokenRate(100_000.0),
         models: BTreeSet::new(),
         non_idempotent: Vec::new(),
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -307,6 +307,8 @@
         for action in actions {
             match action {
                 ShardAction::Send(_, message) => self.deliver(now, message),
+                // There is one failure domain.
+                ShardAction::SendToOwner(..) => {}
                 ShardAction::Cancel(spec, attempt) => self.cancel(now, &spec, attempt),
             }
         }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -524,6 +524,61 @@
     }
 }
 
+fn refused_overloaded(seconds: u32) -> Refusal {
+    Refusal::not_run(RefusalReason::Overloaded).with_retry_after(SECOND * seconds)
+}
+
+/// Where the owner decides when a request leaves, asking around would undo its decision.
+#[test]
+fn request_that_waits_for_its_owner_asks_only_the_domain_that_the_owner_names() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.handle(FlowEvent::Start);
+    harness.owner_message(ShardMessage::Waiting(attempt(1)));
+    assert_eq!(fail_fast_requests(&harness.advance_time(MILLI * 600)), []);
+    let advice = ShardMessage::TryDomain(attempt(1), domain("tyrol-c"));
+    assert_eq!(fail_fast_requests(&harness.owner_message(advice)), [(domain("tyrol-c"), true)]);
+    let granted = ShardMessage::Grant(grant(1, "d0", ClaimPhase::Run));
+    let actions = harness.handle(FlowEvent::OwnerMessage(domain("tyrol-c"), granted));
+    let withdrawn = FlowAction::Send(domain("tyrol-a"), ShardMessage::Withdraw(attempt(1)));
+    assert!(actions.contains(&withdrawn), "the place at home is given up: {actions:?}");
+}
+
+/// An owner that falls silent must not keep a request at home for good.
+#[test]
+fn request_whose_owner_says_no_more_asks_elsewhere_after_a_second() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.handle(FlowEvent::Start);
+    harness.owner_message(ShardMessage::Waiting(attempt(1)));
+    let asked = fail_fast_requests(&harness.advance_time(SECOND));
+    assert!(asked.contains(&(domain("tyrol-b"), true)), "{asked:?}");
+}
+
+#[test]
+fn request_that_is_refused_at_home_asks_the_named_domain_once() {
+    let refuse_here = |other: Option<&str>| {
+        let mut harness = FlowHarness::new(|_| {});
+        harness.handle(FlowEvent::Start);
+        let other = other.map(domain);
+        let message = ShardMessage::RefuseHere(attempt(1), refused_overloaded(7), other);
+        let actions = harness.owner_message(message);
+        (harness, actions)
+    };
+    let (_, actions) = refuse_here(None);
+    assert_eq!(refusal_of(&actions), Some(refused_overloaded(7)), "no domain has room");
+    let (mut harness, actions) = refuse_here(Some("tyrol-c"));
+    assert_eq!(fail_fast_requests(&actions), [(domain("tyrol-c"), true)]);
+    let full = ShardMessage::Refuse(attempt(1), refused_overloaded(0));
+    let actions = harness.handle(FlowEvent::OwnerMessage(domain("tyrol-c"), full));
+    assert_eq!(refusal_of(&actions), Some(refused_overloaded(7)), "the time at home holds");
+    let (mut harness, _) = refuse_here(Some("tyrol-c"));
+    let actions = harness.advance_time(MILLI * 60);
+    assert_eq!(refusal_of(&actions), Some(refused_overloaded(7)), "the other domain is silent");
+    let (mut harness, _) = refuse_here(Some("tyrol-c"));
+    let granted = ShardMessage::Grant(grant(1, "d0", ClaimPhase::Run));
+    let actions = harness.handle(FlowEvent::OwnerMessage(domain("tyrol-c"), granted));
+    assert!(actions.iter().any(|action| matches!(action, FlowAction::StartRun { .. })));
+}
+
 /// Guards against owner changes that restart the probe timer. When a failure domain was cut off,
 /// the members changed several times a second, and a call spent 2 s on unresponsive owners in four
 /// failure domains (tariq-roads-grown inc-bb6d).
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -352,6 +352,8 @@
                     let entry = (0..ENTRIES).find(|entry| entry_id(*entry) == to);
                     self.send(false, entry.expect("an entry"), owner, message);
                 }
+                // There is one failure domain.
+                ShardAction::SendToOwner(..) => {}
                 ShardAction::Cancel(spec, attempt) => {
                     let upstream = spec.name;
                     self.cancels.push_back(PendingCancel::Owner { owner, upstream, attempt });
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Failure scenarios of a shard, fed as sequences of events to the real ledger.
 
 mod harness;
+mod leaving;
 mod lengths;
 mod picture;
 mod urgency;
