Requests that would be refused at home ask the other failure domains first

Cause: requests that had missed their target use spare capacity only, and no room was reported for them, so all that came back were refused at home; and a request that was refused or expired at home no longer asked the others, whose news is some 100 ms old.

Change: owners report the spare room too. A refusal at home lets the entry host ask the other domains in turn, the likeliest first, and holds if none has room. Reports come every 100 ms at most.

--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -63,7 +63,7 @@
 /// How a request seeks admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum AdmissionMode {
-    /// Asks one other failure domain, and is refused if that has no room.
+    /// Asks the other failure domains in turn, and is refused if none has room.
     Leaving(Refusal),
     /// Probes one failure domain after another for an upstream with free capacity.
     Probing,
@@ -421,7 +421,7 @@
         self.open_response(out);
     }
 
-    /// Asks the failure domain that may have room, and ends the request if there is none.
+    /// Asks the other failure domains before the request ends, the one that may have room first.
     fn leave_or_refuse(
         &mut self,
         now: Instant,
@@ -430,17 +430,27 @@
         out: &mut Vec<FlowAction>,
     ) {
         let FlowStage::Admission { since, acknowledged, .. } = &self.stage else { return };
-        let other =
-            domain.and_then(|domain| self.spec.domains.iter().position(|known| *known == domain));
-        let Some(index) = other else {
-            self.withdraw(out);
-            return self.refuse(refusal, out);
-        };
-        let (since, acknowledged, next_send) = (*since, *acknowledged, now + PROBE_TIMEOUT);
+        let (since, acknowledged) = (*since, *acknowledged);
+        self.withdraw(out);
+        if let Some(others) = self.spec.domains.get_mut(1..) {
+            others.sort_by_key(|other| Some(&*other) != domain.as_ref());
+        }
+        self.domain_index = 0;
         let mode = AdmissionMode::Leaving(refusal);
-        self.domain_index = index;
-        self.stage = FlowStage::Admission { since, next_send, acknowledged, mode };
-        self.send_admission_request(now, index, true, out);
+        self.stage = FlowStage::Admission { since, next_send: now, acknowledged, mode };
+        self.ask_next_domain(now, refusal, out);
+    }
+
+    /// Asks the next failure domain for room; after the last one the refusal holds.
+    fn ask_next_domain(&mut self, now: Instant, refusal: Refusal, out: &mut Vec<FlowAction>) {
+        if self.domain_index + 1 >= self.spec.domains.len() {
+            return self.refuse(refusal, out);
+        }
+        self.domain_index += 1;
+        if let FlowStage::Admission { next_send, .. } = &mut self.stage {
+            *next_send = now + PROBE_TIMEOUT;
+        }
+        self.send_admission_request(now, self.domain_index, true, out);
     }
 
     fn open_response(&mut self, out: &mut Vec<FlowAction>) {
@@ -469,7 +479,7 @@
             return;
         }
         if let AdmissionMode::Leaving(refusal) = mode {
-            return self.refuse(refusal, out);
+            return self.ask_next_domain(now, refusal, out);
         }
         if mode == AdmissionMode::Probing && other_domain_may_admit && now < self.spec.deadline {
             return self.probe_next_domain(now, out);
@@ -571,7 +581,7 @@
             }
             FlowStage::Admission { mode: AdmissionMode::Leaving(refusal), .. } => {
                 let refusal = *refusal;
-                self.refuse(refusal, out);
+                self.ask_next_domain(now, refusal, out);
             }
             FlowStage::Admission { since, acknowledged: false, .. }
                 if now >= *since + OWNER_TIMEOUT =>
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -146,8 +146,8 @@
     Waiting(AttemptId),
     /// Owner to entry daemon: another failure domain may have room for the queued attempt.
     TryDomain(AttemptId, DomainName),
-    /// Owner to entry daemon of its own failure domain: the admission request is refused, unless the
-    /// failure domain, if there is one, has room.
+    /// Owner to entry daemon of its own failure domain: the admission request is refused, unless another
+    /// failure domain has room. The one that is named is the likeliest.
     RefuseHere(AttemptId, Refusal, Option<DomainName>),
     /// Owner to entry daemon: the request was refused before, so its first token is due sooner,
     /// within this time.
--- a/src/coordination/shard/leaving.rs
+++ b/src/coordination/shard/leaving.rs
@@ -12,7 +12,7 @@
 /// After what time nothing is known of a failure domain that reports no more.
 const ROOM_TTL: Duration = Duration::from_secs(1);
 /// The shortest interval between two reports of the own room.
-const REPORT_PERIOD: Duration = Duration::from_millis(200);
+const REPORT_PERIOD: Duration = Duration::from_millis(100);
 /// The longest interval between two reports. A lost one must not let the news end.
 const MAX_REPORT_PERIOD: Duration = Duration::from_millis(500);
 /// After what time a request that still waits is advised again.
@@ -23,6 +23,14 @@
 pub struct RoomReport {
     /// The number of requests of typical size that could start at once.
     pub starts: u32,
+    /// The same for requests that have missed their first-token target and get spare capacity only.
+    pub spare: u32,
+}
+
+impl RoomReport {
+    fn room_for(&self, late: bool) -> u32 {
+        if late { self.spare } else { self.starts }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,16 +61,18 @@
     }
 
     /// Returns the failure domain to which a request may go now, and counts the request there; `None` if
-    /// none has room left, or if the request was advised a moment ago.
-    pub fn choose(&mut self, now: Instant, attempt: &AttemptId) -> Option<DomainName> {
+    /// none has room left, or if the request was advised a moment ago. A `late` request has missed its
+    /// first-token target.
+    pub fn choose(&mut self, now: Instant, attempt: &AttemptId, late: bool) -> Option<DomainName> {
         self.advised.retain(|_, at| now < *at + ADVICE_PERIOD);
         if self.advised.contains_key(attempt) {
             return None;
         }
         // Every other domain may send to a domain that has room, so each takes its part of it.
         let senders = self.known(now).count().max(1) as u32;
-        let free =
-            |room: &DomainRoom| room.report.starts.div_ceil(senders).saturating_sub(room.sent);
+        let free = |room: &DomainRoom| {
+            room.report.room_for(late).div_ceil(senders).saturating_sub(room.sent)
+        };
         let best = self.known(now).max_by_key(|(_, room)| free(room));
         let domain = best.filter(|(_, room)| free(room) > 0)?.0.clone();
         self.domains.get_mut(&domain)?.sent += 1;
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -360,7 +360,7 @@
         while let Some(waiting) = self.queue.pop_expired(now) {
             let wait = self.reserve_retry(now, &template, &waiting);
             let refusal = Refusal::not_run(RefusalReason::Overloaded).with_retry_after(wait);
-            let message = ShardMessage::Refuse(waiting.request.attempt, refusal);
+            let message = self.refuse_here(now, &waiting, refusal);
             actions.push(ShardAction::Send(waiting.from, message));
         }
     }
--- a/src/coordination/shard/ledger/leaving.rs
+++ b/src/coordination/shard/ledger/leaving.rs
@@ -32,27 +32,44 @@
         let attempt = waiting.request.attempt.clone();
         let is_late = waiting.request.is_late();
         if let Some(refusal) = self.refuse_if_too_late(now, template, &waiting) {
-            // Requests that are late already use spare capacity only, which is not reported.
-            let domain = if is_late { None } else { self.leaving.choose(now, &attempt) };
-            return ShardMessage::RefuseHere(attempt, refusal, domain);
+            let waiting = WaitingRequest { leaves_at: Some(now), ..waiting };
+            return self.refuse_here(now, &waiting, refusal);
         }
         let expected = self.expected_wait(now, template, &waiting);
         let leaves_at = if expected > cost { now } else { now + cost };
-        let waiting = WaitingRequest { leaves_at: (!is_late).then_some(leaves_at), ..waiting };
+        let waiting = WaitingRequest { leaves_at: Some(leaves_at), ..waiting };
         self.queue.push(waiting, quota);
         ShardMessage::Waiting(attempt)
     }
 
+    /// Returns the refusal of a request, which may ask other failure domains first if it could leave.
+    pub(super) fn refuse_here(
+        &mut self,
+        now: Instant,
+        waiting: &WaitingRequest,
+        refusal: Refusal,
+    ) -> ShardMessage {
+        let attempt = waiting.request.attempt.clone();
+        if waiting.leaves_at.is_none() {
+            return ShardMessage::Refuse(attempt, refusal);
+        }
+        let domain = self.leaving.choose(now, &attempt, waiting.request.is_late());
+        ShardMessage::RefuseHere(attempt, refusal, domain)
+    }
+
     /// Names another failure domain to the waiting requests for which leaving pays now, as long as
     /// there is room.
     pub(super) fn advise_waiting(&mut self, now: Instant, actions: &mut Vec<ShardAction>) {
         let pays = |waiting: &&WaitingRequest| waiting.leaves_at.is_some_and(|at| at <= now);
         let leaving = self.queue.by_expiry().filter(pays).take(MAX_ADVISED);
         let leaving: Vec<_> = leaving
-            .map(|waiting| (waiting.from.clone(), waiting.request.attempt.clone()))
+            .map(|waiting| {
+                let request = &waiting.request;
+                (waiting.from.clone(), request.attempt.clone(), request.is_late())
+            })
             .collect();
-        for (from, attempt) in leaving {
-            if let Some(domain) = self.leaving.choose(now, &attempt) {
+        for (from, attempt, is_late) in leaving {
+            if let Some(domain) = self.leaving.choose(now, &attempt, is_late) {
                 let advice = ShardMessage::TryDomain(attempt, domain);
                 actions.push(ShardAction::Send(from, advice));
             }
@@ -64,10 +81,15 @@
         let Some(template) = self.template.clone().filter(|t| t.leaving_cost.is_some()) else {
             return;
         };
-        let has_room = self.may_grant(now) && self.queue.on_time_len() == 0;
         let need = self.typical_need(&template);
-        let starts = if has_room { self.pool.starts(now, need) } else { 0 };
-        let report = RoomReport { starts };
+        let room = |is_free: bool, late| match is_free && self.may_grant(now) {
+            true => self.pool.starts(now, need, late),
+            false => 0,
+        };
+        let report = RoomReport {
+            starts: room(self.queue.on_time_len() == 0, false),
+            spare: room(self.queue.len() == 0, true),
+        };
         if !self.leaving.is_report_due(now, report) {
             return;
         }
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -60,12 +60,13 @@
         })
     }
 
-    /// Returns at how many engines one more request of this size could start now.
-    pub fn starts(&self, now: Instant, need: MemoryNeed) -> u32 {
+    /// Returns at how many engines one more request of this size could start now. A `late` request has
+    /// missed its first-token target.
+    pub fn starts(&self, now: Instant, need: MemoryNeed, late: bool) -> u32 {
         let has_room = |worker: &&PoolWorker| {
             worker.is_usable(now)
                 && worker.slots < worker.spec.slots.0
-                && self.has_memory(now, worker, need, false)
+                && self.has_memory(now, worker, need, late)
         };
         self.runners().filter(has_room).count() as u32
     }
