Place prompts by the speed of prefill workers, and let the fastest decode

What callers saw: model workers of the lecture site differ by a factor of two. Prompts went to the worker with the fewest prompts, so some waited behind two others at a slow one for half a second; and slow workers became decode workers as often as fast ones.

Change: owners measure how long prompts take at each prefill worker, and send the next one where it is expected to be computed first; a figure without new samples fades. Plans take the fastest workers. In force where owners decide when requests leave.

--- a/src/coordination/roles.rs
+++ b/src/coordination/roles.rs
@@ -9,6 +9,7 @@
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// The prefix of the store keys of plans; the service's name follows it.
@@ -57,6 +58,8 @@
     pub name: UpstreamName,
     /// The worker's current role.
     pub role: UpstreamRole,
+    /// How long it takes for prompts relative to the expected time; 100 where that is not known.
+    pub slowness: SlownessPercent,
 }
 
 /// The role changes that a plan asks for.
@@ -69,13 +72,16 @@
 
 impl RolePlan {
     /// Plans which prefill workers switch to decoding, taking each from the failure domain that
-    /// then has most prefill workers. Decode workers never change, since only surplus prefill
-    /// workers can be spared while they change.
+    /// then has most prefill workers, the fastest first: a slow decode worker holds each run, and so its
+    /// memory, for longer. Decode workers never change, since only surplus prefill workers can be spared
+    /// while they change.
     pub fn balance(shape: &RequestShape, workers: &[WorkerSnapshot]) -> Self {
         let mut prefill: BTreeMap<&DomainName, Vec<&WorkerSnapshot>> = BTreeMap::new();
         for worker in workers.iter().filter(|worker| worker.role == UpstreamRole::Prefill) {
             prefill.entry(&worker.domain).or_default().push(worker);
         }
+        // The last of each domain switches first.
+        prefill.values_mut().for_each(|workers| workers.sort_by_key(|w| Reverse(w.slowness)));
         let current: usize = prefill.values().map(Vec::len).sum();
         let surplus = current.saturating_sub(shape.prefill_workers(workers.len()));
         let mut plan = Self::default();
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -153,6 +153,11 @@
         self.pool.news(now)
     }
 
+    /// Returns how slow workers have been at computing prompts, where that is taken into account.
+    pub fn prefill_slowness(&self) -> BTreeMap<UpstreamName, SlownessPercent> {
+        self.pool.prefill_slowness()
+    }
+
     /// Returns this daemon's role in the shard.
     pub fn role(&self) -> ShardRole {
         self.role
@@ -186,6 +191,7 @@
             .map(|time| GrowthRate { block_tokens: template.block_tokens, token_time: time });
         self.pool.configure(domain, growth_rate, specs);
         self.pool.set_remote_cost(template.remote_cost);
+        self.pool.set_uses_speed(template.leaving_cost.is_some());
         self.template = Some(template);
         self.quotas = quotas;
         let accounts: Vec<_> = self.quotas.keys().cloned().collect();
--- a/src/coordination/shard/ledger/claims.rs
+++ b/src/coordination/shard/ledger/claims.rs
@@ -22,6 +22,9 @@
                 held.claim.phase == ClaimPhase::Prefill && claim.phase != ClaimPhase::Prefill;
             if finished_prefill {
                 self.estimate.prefill.add(now - held.since);
+                let blocks = KvBlocks(held.claim.kv_blocks.0.saturating_sub(held.claim.growth.0));
+                let expected = self.prefill_time(blocks);
+                self.pool.record_prefill(now, &attempt, expected);
             }
         }
         let account = claim.account.clone();
@@ -32,6 +35,13 @@
         self.refresh_account(&account);
     }
 
+    /// Returns the time for which a worker of usual speed computes a prompt of this many blocks.
+    fn prefill_time(&self, prompt: KvBlocks) -> Duration {
+        let Some(template) = &self.template else { return Duration::ZERO };
+        let tokens = Tokens(prompt.0.saturating_mul(template.block_tokens.0));
+        template.prefill_tokens_per_second.time_for(tokens)
+    }
+
     /// Ends a claim and updates the estimates and the health of its upstreams by the outcome.
     pub(super) fn release(&mut self, now: Instant, attempt: &AttemptId, outcome: ReleaseOutcome) {
         let Some(held) = self.pool.claim(attempt) else { return };
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -21,4 +21,4 @@
 pub use leaving::{LeavingBoard, RoomReport};
 pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
 pub use lifetimes::LifeTable;
-pub use pool::{LoadReport, MAX_NEWS, SlownessPercent, UpstreamNews};
+pub use pool::{LoadReport, MAX_NEWS, UpstreamNews};
--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -4,14 +4,16 @@
 mod memory;
 mod picture;
 mod placement;
+mod speed;
 
 pub use memory::{GrowthRate, MemoryNeed, RunProgress};
-pub use picture::{LoadReport, MAX_NEWS, SlownessPercent, UpstreamNews, UpstreamPicture};
+pub use picture::{LoadReport, MAX_NEWS, UpstreamNews, UpstreamPicture};
 
 use crate::coordination::messages::{AdmissionRequest, ClaimPhase, GrantMessage, SlotClaim};
 use crate::coordination::shard::estimate::{MeanDuration, UsableSlots};
 use crate::prelude::*;
 use health::WorkerHealth;
+use speed::PrefillSpeed;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The backoff after an upstream's first failure; it doubles with each further one.
@@ -34,6 +36,8 @@
     pub since: Instant,
     /// The last reported progress of the run, if it has started.
     pub progress: Option<RunProgress>,
+    /// The prompts of this owner that the prefill worker had to compute before this one.
+    pub prompts_ahead: u32,
     /// The upstreams that have not confirmed the cancel yet, each with the time at which the cancel
     /// is sent next. `None` unless the claim is being cancelled.
     pub cancelling: Option<BTreeMap<UpstreamName, Instant>>,
@@ -51,6 +55,8 @@
     leaving: bool,
     /// What it reports of its load; `None` if it reports nothing.
     picture: Option<UpstreamPicture>,
+    /// How fast it has computed prompts.
+    prefill_speed: PrefillSpeed,
     /// The end of the current backoff.
     backoff_until: Option<Instant>,
     slots: u32,
@@ -70,6 +76,7 @@
             kv_blocks: 0,
             leaving: false,
             picture: None,
+            prefill_speed: PrefillSpeed::default(),
             backoff_until: None,
             slots: 0,
             spec,
@@ -131,6 +138,8 @@
     /// How much longer a call may wait before it leaves the failure domain; `None` to place calls
     /// by load alone.
     remote_cost: Option<Duration>,
+    /// Whether prompts are placed by the speed that workers have shown.
+    uses_speed: bool,
     /// The time that a call takes on a machine of usual speed.
     service_time: MeanDuration,
     workers: BTreeMap<UpstreamName, PoolWorker>,
@@ -165,6 +174,11 @@
         self.remote_cost = cost;
     }
 
+    /// Sets whether prompts are placed by the speed that workers have shown.
+    pub fn set_uses_speed(&mut self, uses_speed: bool) {
+        self.uses_speed = uses_speed;
+    }
+
     /// Returns the claim of an attempt.
     pub fn claim(&self, attempt: &AttemptId) -> Option<&HeldClaim> {
         self.claims.get(attempt)
@@ -192,14 +206,16 @@
     pub fn insert(&mut self, now: Instant, claim: SlotClaim) {
         let old = self.remove(&claim.attempt);
         let since = old.as_ref().map_or(now, |old| old.since);
+        let old_prompts_ahead = old.as_ref().map(|old| old.prompts_ahead);
         let begins = claim.phase == ClaimPhase::Run && claim.growth.0 > 0;
         let begun = begins.then_some(RunProgress { at: now, tokens: Tokens(0) });
         let progress = old.and_then(|old| old.progress).or(begun);
+        let prompts_ahead = old_prompts_ahead.unwrap_or_else(|| self.prompts_at(&claim));
         self.adjust_counts(&claim, true);
         let picture =
             self.workers.get_mut(&claim.runner).and_then(|worker| worker.picture.as_mut());
         picture.into_iter().for_each(UpstreamPicture::record_sent);
-        let held = HeldClaim { claim, since, progress, cancelling: None };
+        let held = HeldClaim { claim, since, progress, prompts_ahead, cancelling: None };
         self.claims.insert(held.claim.attempt.clone(), held);
     }
 
--- a/src/coordination/shard/pool/picture.rs
+++ b/src/coordination/shard/pool/picture.rs
@@ -9,9 +9,6 @@
 use super::{HeldClaim, PoolWorker, WorkerPool};
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::fmt;
-use std::num::ParseIntError;
-use std::str::FromStr;
 
 /// The time after which a third of a report is left in the picture.
 const REPORT_DECAY_TIME: Duration = Duration::from_millis(300);
@@ -35,33 +32,6 @@
 /// What a failed call costs, in service times: most callers lose it, or have to send it again.
 const FAILURE_COST: f64 = 10.0;
 
-/// How long work takes on an upstream's machine now, in percent of the usual time.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
-pub struct SlownessPercent(pub u32);
-
-impl SlownessPercent {
-    /// Returns the factor, from a half to twenty: an upstream that claims to be far faster than usual must
-    /// not make up for its failures.
-    fn factor(self) -> f64 {
-        (f64::from(self.0) / 100.0).clamp(0.5, 20.0)
-    }
-}
-
-impl fmt::Display for SlownessPercent {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}%", self.0)
-    }
-}
-
-impl FromStr for SlownessPercent {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.trim().trim_end_matches('%').parse().map(Self)
-    }
-}
-
 /// What an upstream says of its load in a response.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReport {
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -9,6 +9,11 @@
 /// The divisor of the penalty for another failure domain when a prefill worker is chosen, since
 /// prefill results are transferred within milliseconds.
 const PREFILL_PENALTY_DIVISOR: u64 = 10;
+/// The delay, in thousandths of the time for one prompt, that is added to a prefill worker in another
+/// failure domain: the transfer of its result takes twice as long and costs traffic.
+const REMOTE_PREFILL_DELAY: u64 = 500;
+/// The delay from which a prefill worker that is busy gets no more prompts, in the same unit.
+const MAX_PREFILL_DELAY: u64 = MAX_PREFILL_QUEUE as u64 * 1000;
 /// The maximum number of prompts that one owner queues at a prefill worker. A prompt takes about
 /// 100 ms, and other owners send prompts to the same worker.
 const MAX_PREFILL_QUEUE: u32 = 3;
@@ -162,6 +167,18 @@
                 && worker.slots < self.prefill_limit(worker)
                 && !request.avoid.contains(&worker.spec.name)
         });
+        if self.uses_speed {
+            let is_soon = |worker: &&PoolWorker| {
+                worker.slots == 0 || self.prefill_delay(now, worker) <= MAX_PREFILL_DELAY
+            };
+            return candidates.filter(is_soon).min_by_key(|worker| {
+                let is_remote = self.domain_penalty(worker) > 0;
+                let way = if is_remote { REMOTE_PREFILL_DELAY } else { 0 };
+                self.prefill_delay(now, worker)
+                    + way
+                    + worker.health.failure_penalty(now, baseline) * 2
+            });
+        }
         candidates.min_by_key(|worker| {
             // One more prompt in the queue costs far more time than recomputing a shared prefix.
             let hits = prefixes.hits(&request.prefix, &worker.spec.name);
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -9,6 +9,8 @@
     AccountName, AttemptId, DaemonId, DomainName, Fingerprint, HostName, Incarnation, PromptPart,
     RequestId, Revision, ServiceName, SoftwareVersion, UpstreamName,
 };
-pub use crate::state::units::{KvBlocks, RequestRate, Slots, TokenRate, Tokens, UrgencyRank};
+pub use crate::state::units::{
+    KvBlocks, RequestRate, Slots, SlownessPercent, TokenRate, Tokens, UrgencyRank,
+};
 pub use crate::state::verdict::{Refusal, RefusalReason, Verdict};
 pub use std::time::{Duration, Instant};
--- a/src/state/units.rs
+++ b/src/state/units.rs
@@ -137,3 +137,37 @@
         text.trim_end_matches("requests/s").trim_end().parse().map(Self::from_per_second)
     }
 }
+
+/// How long work takes on an upstream's machine, in percent of the usual time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct SlownessPercent(pub u32);
+
+impl Default for SlownessPercent {
+    /// Returns the usual time.
+    fn default() -> Self {
+        Self(100)
+    }
+}
+
+impl SlownessPercent {
+    /// Returns the factor, from a half to twenty: an upstream that claims to be far faster than usual must
+    /// not make up for its failures.
+    pub fn factor(self) -> f64 {
+        (f64::from(self.0) / 100.0).clamp(0.5, 20.0)
+    }
+}
+
+impl fmt::Display for SlownessPercent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0)
+    }
+}
+
+impl FromStr for SlownessPercent {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim().trim_end_matches('%').parse().map(Self)
+    }
+}
--- a/src/transport/gateway/roles.rs
+++ b/src/transport/gateway/roles.rs
@@ -13,6 +13,7 @@
 use crate::transport::node::lock;
 use futures::future::BoxFuture;
 use metrics::counter;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -140,11 +141,16 @@
     fn due_plan(&self, candidate: PlanCandidate) -> Option<DuePlan> {
         let PlanCandidate { previous, service, decision } = candidate;
         let now = self.node.clock.now();
-        let shape = lock(&self.node.shards).get(&service)?.shape(now);
+        let (shape, slowness) = {
+            let shards = lock(&self.node.shards);
+            let ledger = shards.get(&service)?;
+            (ledger.shape(now), ledger.prefill_slowness())
+        };
         let plan = match (decision, &previous) {
             (PlanDecision::TakeOver, Some(previous)) => previous.plan.clone(),
             _ => {
-                RolePlan::balance(&shape?, &worker_snapshots(now, &lock(&self.registry), &service))
+                let registry = lock(&self.registry);
+                RolePlan::balance(&shape?, &worker_snapshots(now, &registry, &service, &slowness))
             }
         };
         (!plan.workers.is_empty()).then_some(DuePlan { previous, plan, service, shape, decision })
@@ -281,6 +287,7 @@
     now: Instant,
     registry: &UpstreamRegistry,
     service: &ServiceName,
+    slowness: &BTreeMap<UpstreamName, SlownessPercent>,
 ) -> Vec<WorkerSnapshot> {
     let workers = registry
         .of_service(service)
@@ -290,6 +297,7 @@
         incarnation: record.incarnation,
         name: name.clone(),
         role: record.role,
+        slowness: slowness.get(name).copied().unwrap_or_default(),
     });
     workers.collect()
 }
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -15,6 +15,7 @@
         incarnation: Incarnation(index as u64),
         name: format!("w{index}").parse().expect("valid name"),
         role,
+        slowness: SlownessPercent::default(),
     }
 }
 
@@ -36,6 +37,25 @@
     assert_eq!(from_b.count(), 2, "{plan:?}");
 }
 
+/// A slow worker holds the memory of each run for longer, so the fast ones decode.
+#[test]
+fn fast_prefill_workers_switch_first() {
+    let shape = RequestShape { parallel: 9.65, prefill: 0.104, run: 3.7 };
+    let mut workers: Vec<_> =
+        (0..28).map(|index| worker(index, "tyrol-a", UpstreamRole::Decode)).collect();
+    for index in 28..44 {
+        let domain = ["tyrol-a", "tyrol-b", "tyrol-c", "tyrol-d"][index % 4];
+        let slowness = SlownessPercent(if index < 32 { 180 } else { 83 });
+        workers.push(WorkerSnapshot { slowness, ..worker(index, domain, UpstreamRole::Prefill) });
+    }
+    let plan = RolePlan::balance(&shape, &workers);
+    assert_eq!(plan.workers.len(), 16 - shape.prefill_workers(44));
+    let is_slow = |name: &UpstreamName| {
+        workers.iter().any(|worker| worker.name == *name && worker.slowness.0 == 180)
+    };
+    assert!(!plan.workers.keys().any(is_slow), "{plan:?}");
+}
+
 #[test]
 fn too_few_prefill_workers_change_nothing() {
     let shape = RequestShape { parallel: 20.0, prefill: 0.5, run: 1.0 };
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod lengths;
 mod picture;
+mod speed;
 mod urgency;
 
 use apricotrun::coordination::claims::digest_claims;
--- a/tests/shard/picture.rs
+++ b/tests/shard/picture.rs
@@ -4,7 +4,7 @@
 use crate::harness::{account, admission_request, daemon, granted};
 use apricotrun::coordination::messages::{AdmissionRequest, ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{
-    LoadReport, ShardEvent, ShardLedger, ShardRole, SlownessPercent, UpstreamNews,
+    LoadReport, ShardEvent, ShardLedger, ShardRole, UpstreamNews,
 };
 use apricotrun::prelude::*;
 use apricotrun::state::fleet::AccountQuota;
