--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -433,7 +433,7 @@
         let (since, acknowledged) = (*since, *acknowledged);
         self.withdraw(out);
         if let Some(others) = self.spec.domains.get_mut(1..) {
-            others.sort_by_key(|other| Some(&*other) != domain.as_ref());
+            others.sort_by_key(|other| Some(other) != domain.as_ref());
         }
         self.domain_index = 0;
         let mode = AdmissionMode::Leaving(refusal);
--- a/src/coordination/shard/ledger/leaving.rs
+++ b/src/coordination/shard/ledger/leaving.rs
@@ -29,14 +29,13 @@
         waiting: WaitingRequest,
         cost: Duration,
     ) -> ShardMessage {
-        let attempt = waiting.request.attempt.clone();
-        let is_late = waiting.request.is_late();
         if let Some(refusal) = self.refuse_if_too_late(now, template, &waiting) {
             let waiting = WaitingRequest { leaves_at: Some(now), ..waiting };
             return self.refuse_here(now, &waiting, refusal);
         }
         let expected = self.expected_wait(now, template, &waiting);
         let leaves_at = if expected > cost { now } else { now + cost };
+        let attempt = waiting.request.attempt.clone();
         let waiting = WaitingRequest { leaves_at: Some(leaves_at), ..waiting };
         self.queue.push(waiting, quota);
         ShardMessage::Waiting(attempt)
--- a/tests/shard/speed.rs
+++ b/tests/shard/speed.rs
@@ -48,7 +48,8 @@
     // After the last prompt the workers finish those that they have.
     for sequence in 0..=prompts {
         let is_last = sequence == prompts;
-        let due = start + period * sequence as u32 + if is_last { SECOND * 30 } else { period * 0 };
+        let rest = if is_last { SECOND * 30 } else { Duration::ZERO };
+        let due = start + period * sequence as u32 + rest;
         while let Some(((at, _), _)) = ends.first_key_value().filter(|((at, _), _)| *at <= due) {
             let at = *at;
             harness.clock.advance(at.saturating_duration_since(now));
