apricotctl route: explain where a request would go now, without sending it

Change: ShardLedger::preview decides with the code that admits requests (check_request, goes_first, place, expected_wait) and changes nothing; a control endpoint asks it for the shards that a daemon owns, and the subcommand asks all daemons. Tests ask and then send: grants, waiting, refusals, and one real deployment.

Not included: hosts of a platform, which serve no control interface; streams that are taken up, urgency and cached prompts as input.

--- a/src/bin/apricotctl/config.rs
+++ b/src/bin/apricotctl/config.rs
@@ -30,9 +30,9 @@
     store: Option<SocketAddr>,
 }
 
-/// The status of one daemon.
+/// What one daemon answers.
 pub struct MemberStatus {
-    /// The daemon's status as JSON, or why there is none.
+    /// The daemon's answer as JSON, or why there is none.
     pub status: Result<Value, String>,
     /// Whether the daemon that was asked for the members considers this one dead.
     pub dead: bool,
@@ -91,7 +91,7 @@
     pub async fn any_status(&self) -> CliResult<Value> {
         let mut last = String::new();
         for seed in &self.seeds {
-            match self.status(*seed).await {
+            match self.ask(*seed, "status").await {
                 Ok(status) => return Ok(status),
                 Err(error) => last = format!("{seed}: {error}"),
             }
@@ -102,6 +102,11 @@
     /// Returns the status of all members, by host. Members that the first daemon considers dead
     /// are asked too, since they may only be cut off from that daemon.
     pub async fn all_status(&self) -> CliResult<BTreeMap<String, MemberStatus>> {
+        self.ask_all("status").await
+    }
+
+    /// Returns what all members answer to a control request, by host.
+    pub async fn ask_all(&self, path: &str) -> CliResult<BTreeMap<String, MemberStatus>> {
         let first = self.any_status().await?;
         let members = first["members"].as_array().cloned().unwrap_or_default();
         let requests = members.iter().map(|member| async move {
@@ -109,7 +114,7 @@
             let domain = string_value(&member["domain"]);
             let dead = member["state"] == "Dead";
             let status = match string_value(&member["http"]).parse() {
-                Ok(address) => self.status(address).await.map_err(|error| error.to_string()),
+                Ok(address) => self.ask(address, path).await.map_err(|error| error.to_string()),
                 Err(_) => Err("its address is malformed".to_owned()),
             };
             (host, MemberStatus { status, dead, domain })
@@ -130,8 +135,8 @@
         Ok(())
     }
 
-    async fn status(&self, address: SocketAddr) -> CliResult<Value> {
-        let url = format!("http://{address}/control/status");
+    async fn ask(&self, address: SocketAddr, path: &str) -> CliResult<Value> {
+        let url = format!("http://{address}/control/{path}");
         let response = self.client.get(url).bearer_auth(&self.key).send().await?;
         if response.status().as_u16() == 401 {
             let reason = format!("{address} does not accept the operator key");
--- a/src/bin/apricotctl/main.rs
+++ b/src/bin/apricotctl/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod logs;
 mod report;
+mod route;
 mod status;
 mod template;
 mod undrain;
@@ -40,6 +41,8 @@
     Explain(explain::Args),
     /// Summarizes the requests in the daemons' logs.
     Report(report::Args),
+    /// Explains where a request would go now, without sending it.
+    Route(route::Args),
     /// Shows the daemons, the shards that they own, and their upstreams.
     Status(status::Args),
     /// Reads and changes service templates.
@@ -69,6 +72,7 @@
             Command::Drain(args) => drain::run(&config, args).await,
             Command::Explain(args) => explain::run(&config, args),
             Command::Report(args) => report::run(&config, args),
+            Command::Route(args) => route::run(&config, args).await,
             Command::Status(args) => status::run(&config, args).await,
             Command::Template(args) => template::run(&config, args).await,
             Command::Undrain(args) => undrain::run(&config, args).await,
--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -4,8 +4,10 @@
 mod claims;
 mod events;
 mod leaving;
+mod preview;
 
 pub use events::{ShardAction, ShardEvent, ShardRole, ShardStatus, UpstreamStatus};
+pub use preview::{PlacementPreview, PreviewCandidate, PreviewDecision};
 
 use crate::coordination::messages::{ShardMessage, SlotClaim};
 use crate::coordination::roles::RequestShape;
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -146,13 +146,22 @@
         quota: &AccountQuota,
         waiting: &WaitingRequest,
     ) -> Option<GrantMessage> {
-        if self.queue.len() > 0 || !self.may_grant(now) || self.is_over_ceiling(now, waiting, quota)
-        {
+        if !self.goes_first(now, quota, waiting) {
             return None;
         }
         self.grant(now, template, waiting)
     }
 
+    /// Returns whether a new request may be granted at once if there is room for it.
+    pub(super) fn goes_first(
+        &self,
+        now: Instant,
+        quota: &AccountQuota,
+        waiting: &WaitingRequest,
+    ) -> bool {
+        self.queue.len() == 0 && self.may_grant(now) && !self.is_over_ceiling(now, waiting, quota)
+    }
+
     /// Refuses a request that would not start before its deadline, and reserves a time for its
     /// retry.
     pub(super) fn refuse_if_too_late(
@@ -375,7 +384,11 @@
     /// Returns the KV-cache blocks that a request is charged for: its prompt plus the output that
     /// its caller expects (the longest one if the caller gave no hint) or, if memory is forecast
     /// over time, the output that the shard expects.
-    fn memory_need(&self, template: &ServiceTemplate, request: &AdmissionRequest) -> MemoryNeed {
+    pub(super) fn memory_need(
+        &self,
+        template: &ServiceTemplate,
+        request: &AdmissionRequest,
+    ) -> MemoryNeed {
         let blocks = |tokens: Tokens| tokens.kv_blocks(template.block_tokens);
         if template.token_time.is_none() {
             let all = blocks(Tokens(request.prompt.0.saturating_add(request.expected_output.0)));
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -19,6 +19,9 @@
 pub use estimate::RequestStats;
 pub use forecast::{RunForecast, peak};
 pub use leaving::{LeavingBoard, RoomReport};
-pub use ledger::{ShardAction, ShardEvent, ShardLedger, ShardRole, ShardStatus, UpstreamStatus};
+pub use ledger::{
+    PlacementPreview, PreviewCandidate, PreviewDecision, ShardAction, ShardEvent, ShardLedger,
+    ShardRole, ShardStatus, UpstreamStatus,
+};
 pub use lifetimes::LifeTable;
 pub use pool::{LoadReport, MAX_NEWS, UpstreamNews};
--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -3,6 +3,7 @@
 use super::memory::MemoryNeed;
 use super::{PoolWorker, WorkerPool};
 use crate::coordination::messages::{AdmissionRequest, ClaimPhase, GrantMessage, SlotClaim};
+use crate::coordination::shard::ledger::PreviewCandidate;
 use crate::coordination::shard::prefixes::PrefixIndex;
 use crate::prelude::*;
 
@@ -76,6 +77,34 @@
         self.runners().filter(has_room).count() as u32
     }
 
+    /// Returns the upstreams that are compared for a request.
+    pub fn compare(
+        &self,
+        now: Instant,
+        request: &AdmissionRequest,
+        need: MemoryNeed,
+    ) -> Vec<PreviewCandidate> {
+        let row = |worker: &PoolWorker| {
+            let is_runner = worker.spec.role != UpstreamRole::Prefill;
+            PreviewCandidate {
+                accepts: worker.accepts(request),
+                has_room: match is_runner {
+                    true => {
+                        worker.slots < worker.spec.slots.0
+                            && self.has_memory(now, worker, need, request.is_late())
+                    }
+                    false => worker.slots < self.prefill_limit(worker),
+                },
+                name: worker.spec.name.clone(),
+                role: worker.spec.role,
+                slots: worker.slots,
+                slots_of: worker.spec.slots,
+                usable: worker.is_usable(now),
+            }
+        };
+        self.workers.values().map(row).collect()
+    }
+
     fn choose_runner(
         &self,
         now: Instant,
--- a/src/transport/http/control.rs
+++ b/src/transport/http/control.rs
@@ -1,8 +1,8 @@
 //! Endpoints for operators: a daemon's view of the fleet, a graceful stop, and fault injection for
 //! tests.
 
-use crate::coordination::messages::MemberRecord;
-use crate::coordination::shard::ShardStatus;
+use crate::coordination::messages::{AdmissionRequest, MemberRecord};
+use crate::coordination::shard::{PlacementPreview, ShardStatus};
 use crate::prelude::*;
 use crate::transport::node::{DaemonNode, lock};
 use rocket::http::Status;
@@ -16,7 +16,7 @@
 
 /// Returns the routes of the operators' endpoints.
 pub fn routes() -> Vec<Route> {
-    routes![drain, faults, status]
+    routes![drain, faults, route, status]
 }
 
 /// A request guard that admits only requests with the operator key as their bearer key.
@@ -94,6 +94,49 @@
     })
 }
 
+/// Explains what this daemon would do with a request, without admitting it; `null` if it does not own
+/// upstreams of the service.
+#[get("/route?<service>&<account>&<prompt_tokens>&<output_tokens>")]
+fn route(
+    _key: OperatorKey,
+    node: &State<Arc<DaemonNode>>,
+    service: &str,
+    account: &str,
+    prompt_tokens: u32,
+    output_tokens: u32,
+) -> Result<Json<Option<PlacementPreview>>, Status> {
+    let service: ServiceName = service.parse().map_err(|_| Status::UnprocessableEntity)?;
+    let account = account.parse().map_err(|_| Status::UnprocessableEntity)?;
+    let config = node.current_config();
+    let Some(template) = config.templates.get(&service) else { return Ok(Json(None)) };
+    let request = AdmissionRequest {
+        account,
+        // Nothing has this number, so that the request is not taken for one that is known.
+        attempt: AttemptId {
+            request: RequestId { entry: node.me.clone(), sequence: u64::MAX },
+            attempt: 0,
+        },
+        avoid: Vec::new(),
+        expected_output: Tokens(output_tokens),
+        fail_fast: false,
+        fingerprint: Fingerprint::of(&[]),
+        first_token_within: template.first_token_target,
+        max_output: Tokens(output_tokens),
+        prefilled: false,
+        prefix: Vec::new(),
+        prompt: Tokens(prompt_tokens),
+        resuming: false,
+        returning: false,
+        software: None,
+        suspect: false,
+        urgency: UrgencyRank::default(),
+        waited: Duration::ZERO,
+    };
+    let shards = lock(&node.shards);
+    let ledger = shards.get(&service);
+    Ok(Json(ledger.and_then(|ledger| ledger.preview(node.clock.now(), &request))))
+}
+
 /// Starts a graceful stop and returns before it is done.
 #[post("/drain")]
 fn drain(_key: OperatorKey, node: &State<Arc<DaemonNode>>) -> Status {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -167,6 +167,32 @@
     assert!(text.contains("tyrol-a-decode-1 0/20 slots, 0 KV blocks"), "{text}");
 }
 
+/// Asks where a request would go, then sends it, and compares with where it ran.
+#[test]
+fn route_names_the_upstream_that_a_request_then_gets() {
+    let fleet = start(options());
+    let args = ["route", "fitting-llm", "--account", "desk", "--prompt-tokens", "100"];
+    let rows = json(&fleet, &args);
+    let rows = rows.as_array().expect("a JSON array");
+    assert_eq!(rows.len(), 1, "one daemon owns the shard: {rows:?}");
+    assert_eq!(rows[0]["preview"]["decision"], "grant", "{rows:?}");
+    let runner = rows[0]["preview"]["runner"].as_str().expect("an upstream").to_owned();
+    let text = fleet.ctl(&args).expect("success");
+    assert!(text.contains(&format!("would run it at {runner}")), "{text}");
+    assert!(text.contains("0/20 slots, has room"), "{text}");
+    let served = |fleet: &Fleet| {
+        let reports = support::engine_reports(fleet, &runner);
+        reports.iter().map(|report| report.started).sum::<u64>()
+    };
+    let before = served(&fleet);
+    let caller = support::Caller::default();
+    assert_eq!(caller.complete(&fleet.daemons[0], "x", 1).status, 200);
+    assert_eq!(served(&fleet), before + 1, "the request ran at {runner}");
+    let output =
+        fleet.try_ctl(&["route", "nothing", "--account", "desk"]).expect("apricotctl runs");
+    assert_eq!(output.status.code(), Some(1), "{}", stderr_of(&output));
+}
+
 #[test]
 fn drain_preserves_the_rest_of_the_template() {
     let fleet = start(options());
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod lengths;
 mod picture;
+mod preview;
 mod speed;
 mod urgency;
 
