--- a/tests/shard/leaving.rs
+++ b/tests/shard/leaving.rs
@@ -216,10 +216,30 @@
     assert!((4..=8).contains(&reports.len()), "{reports:?} in two seconds");
     assert_eq!(reports.first(), Some(&0));
     assert!(reports.last().is_some_and(|starts| *starts > 0), "{reports:?}");
-    harness.fill_decode_slots("a");
-    ask(&mut harness, 20, SECOND * 20);
-    let after = (0..6).flat_map(|_| reported(&harness.advance(MILLI * 100))).last();
-    assert_eq!(after, Some(0), "a request waits here for its first token");
+}
+
+/// While a request waits for its first token, what is free is for it, not for other domains.
+#[test]
+fn domain_where_a_request_waits_reports_no_room() {
+    let mut harness = full_owner();
+    for sequence in 3..=4 {
+        let done = ShardMessage::Release(attempt(sequence), ReleaseOutcome::Finished);
+        harness.deliver("a", done);
+    }
+    let after = |harness: &mut ShardHarness| {
+        let reports = (0..6).flat_map(|_| reported(&harness.advance(MILLI * 100)));
+        reports.last()
+    };
+    assert!(after(&mut harness).is_some_and(|starts| starts > 0));
+    // It needs the whole memory of an engine.
+    let large = AdmissionRequest {
+        first_token_within: SECOND * 20,
+        prompt: Tokens(6_500),
+        ..admission_request("a", 20, "desk")
+    };
+    let actions = harness.deliver("a", ShardMessage::RequestAdmission(large));
+    assert!(granted(&actions).is_empty(), "{actions:?}");
+    assert_eq!(after(&mut harness), Some(0));
 }
 
 /// Owners that decide at the same moment on the same news must not send more than there is room for.
