Decode workers share the prompts of a burst where prompts are placed by speed

What callers saw: found by a test whose 24 streams start at once: one of four decode workers got 21 of them.

Cause: a decode worker that computes a prompt itself, because the prefill workers are busy, holds no transfer, and the fewest transfers decided before the load. The only worker without a transfer got the whole rest of a burst.

Change: where prompts are placed by speed, workers that compute the fewest prompts themselves come first. A run counts until its first token is reported. Elsewhere nothing changes.

Before and after: 21 of 24 at one worker, 7 at most (tests/shard/speed.rs).

--- a/src/coordination/shard/pool/placement.rs
+++ b/src/coordination/shard/pool/placement.rs
@@ -144,13 +144,16 @@
                 (others, self.expected_completion(now, name, &request.attempt, &mean))
             });
         }
+        let prompts = self.prompts_at_runners();
         // A suspect request goes where it endangers the fewest other runs. All others prefer, in
-        // this order, workers that do not fail, have few transfers and have a low load.
+        // this order, workers that do not fail, compute few prompts themselves, have few transfers and
+        // have a low load.
         candidates.min_by_key(|worker| {
             let others = if request.suspect { worker.slots } else { 0 };
             let failure_penalty = worker.health.failure_penalty(now, baseline);
             let load = worker.load() + self.domain_penalty(worker) + failure_penalty;
-            (others, failure_penalty >= HIGH_FAILURE_PENALTY, worker.transfers, load)
+            let prompts = prompts.get(&worker.spec.name).copied().unwrap_or_default();
+            (others, failure_penalty >= HIGH_FAILURE_PENALTY, prompts, worker.transfers, load)
         })
     }
 
--- a/src/coordination/shard/pool/speed.rs
+++ b/src/coordination/shard/pool/speed.rs
@@ -5,8 +5,8 @@
 //! first-token target, while a fast one would have computed all three. See
 //! docs/design/model-work-by-speed.md.
 
-use super::{PoolWorker, WorkerPool};
-use crate::coordination::messages::SlotClaim;
+use super::{HeldClaim, PoolWorker, WorkerPool};
+use crate::coordination::messages::{ClaimPhase, SlotClaim};
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
@@ -63,6 +63,23 @@
         prefill.map_or(0, |worker| worker.slots)
     }
 
+    /// Returns how many prompts each decode worker computes itself at the moment, because the prefill
+    /// workers were busy; empty where prompts are not placed by speed. Such a run holds no transfer, so in
+    /// a burst the only worker without one would get all further prompts.
+    pub(super) fn prompts_at_runners(&self) -> BTreeMap<&UpstreamName, u32> {
+        let computes_prompt = |held: &&HeldClaim| {
+            held.claim.phase == ClaimPhase::Run
+                && held.claim.prefill.is_none()
+                && held.progress.is_some_and(|progress| progress.tokens == Tokens(0))
+        };
+        let mut prompts = BTreeMap::new();
+        let held = self.claims.values().filter(|_| self.uses_speed);
+        for held in held.filter(computes_prompt) {
+            *prompts.entry(&held.claim.runner).or_default() += 1;
+        }
+        prompts
+    }
+
     /// Returns how slow workers have been at computing prompts, in percent of the expected time; empty
     /// where prompts are not placed by speed.
     pub fn prefill_slowness(&self) -> BTreeMap<UpstreamName, SlownessPercent> {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -135,9 +135,18 @@
         assert_eq!(response.verdict.as_deref(), Some("may-have-run"), "{}", response.body);
     }
     fleet.daemons[0].signal("CONT");
+    let mut last = String::new();
     wait_until("the outcome of the booking is known", || {
         let response = Caller::default().request_booking(&fleet.daemons[1], header, "K2");
-        response.is_ok_and(|response| response.verdict.as_deref() == Some("ran"))
+        let is_known =
+            response.as_ref().is_ok_and(|response| response.verdict.as_deref() == Some("ran"));
+        let response = response.map_or_else(|error| format!("{error:?}"), |response| response.body);
+        if response != last {
+            // Shown if the test fails, as the case is not traced yet; see KNOWN-RED.txt.
+            println!("{response}, executed {}", executed(&fleet));
+            last = response;
+        }
+        is_known
     });
     assert_eq!(executed(&fleet), 1);
 }
--- a/tests/shard/speed.rs
+++ b/tests/shard/speed.rs
@@ -126,3 +126,68 @@
     assert!(slow["p0"] * 3 < slow["p1"], "{slow:?}");
     assert_eq!(again.get("p0"), Some(&1), "the second of two prompts goes there: {again:?}");
 }
+
+/// Returns how many requests of a burst each of four decode workers gets, beside one prefill worker.
+fn place_burst(uses_speed: bool, requests: u64) -> BTreeMap<String, u64> {
+    let mut harness = owner(uses_speed, 1);
+    harness.configure(|template| {
+        template.leaving_cost = uses_speed.then_some(PROMPT_TIME);
+        template.local_prefill = true;
+        template.token_time = Some(MILLI);
+        let decode = UpstreamSpec {
+            kv_blocks: Some(KvBlocks(10_000)),
+            slots: Slots(requests as u32),
+            ..template.upstreams[1].clone()
+        };
+        let named = |index| UpstreamSpec {
+            name: format!("d{index}").parse().expect("a valid name"),
+            ..decode.clone()
+        };
+        template.upstreams.truncate(1);
+        template.upstreams[0].slots = Slots(requests as u32);
+        template.upstreams.extend((0..4).map(named));
+    });
+    let mut counts = BTreeMap::new();
+    for sequence in 0..requests {
+        let actions = harness.request_admission("a", sequence);
+        let grant = granted(&actions).pop().expect("room for all");
+        *counts.entry(grant.claim.runner.to_string()).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Prefill workers are busy after the first prompts of a burst. The decode workers must share the rest
+/// of its prompts; 21 of 24 were computed by the one that had no transfer.
+#[test]
+fn decode_workers_share_the_prompts_of_a_burst() {
+    let counts = place_burst(true, 24);
+    let most = counts.values().max();
+    assert!(most.is_some_and(|most| *most <= 7), "{counts:?}");
+    // Elsewhere nothing changes.
+    let before = place_burst(false, 24);
+    assert!(before.values().any(|count| *count > 12), "{before:?}");
+}
+
+/// A decode worker that has computed its prompts must be as good as one that had none.
+#[test]
+fn computed_prompts_no_longer_count_against_a_decode_worker() {
+    let mut harness = owner(true, 0);
+    harness.configure(|template| {
+        template.leaving_cost = Some(PROMPT_TIME);
+        template.local_prefill = true;
+        template.token_time = Some(MILLI);
+        for spec in &mut template.upstreams {
+            (spec.kv_blocks, spec.slots) = (Some(KvBlocks(10_000)), Slots(8));
+        }
+        template.upstreams.remove(0);
+    });
+    let runner = |harness: &mut ShardHarness, sequence| {
+        let actions = harness.request_admission("a", sequence);
+        granted(&actions).pop().expect("room for it").claim
+    };
+    let (first, second) = (runner(&mut harness, 1), runner(&mut harness, 2));
+    assert_ne!(first.runner, second.runner);
+    harness.deliver("a", ShardMessage::Progress(first.attempt, Tokens(1)));
+    let third = runner(&mut harness, 3);
+    assert_eq!(third.runner, first.runner, "the other one still computes a prompt");
+}
