Leave time for the first token when requests wait, and measure how fast the queue drains

Cause: the latest start left time for an idle worker only (90 ms; measured 130 ms at the median, 330 ms for the slowest tenth), and the expected wait came from average hold times.

Ruled out: prompts at decode workers (none in these seconds), prefill workers (half used), refusals of take-ups (they come in other seconds).

The drain rate of the first second of a burst is too low, since the runs that hold the room have just begun.

--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -19,6 +19,7 @@
 use crate::coordination::shard::recovery::OwnerRecovery;
 use crate::coordination::shard::refusals::RefusalHistory;
 use crate::coordination::shard::retry_schedule::RetrySchedule;
+use crate::coordination::shard::starts::StartForecast;
 use crate::prelude::*;
 use crate::state::fleet::AccountQuota;
 use std::collections::{BTreeMap, BTreeSet};
@@ -41,6 +42,7 @@
     recovery: Option<OwnerRecovery>,
     refusals: RefusalHistory,
     role: ShardRole,
+    starts: StartForecast,
     /// Request statistics reported by the owners of the same service in other failure domains.
     domain_stats: BTreeMap<DomainName, RequestStats>,
     template: Option<Arc<ServiceTemplate>>,
@@ -63,6 +65,7 @@
             recovery: None,
             refusals: RefusalHistory::default(),
             role: ShardRole::Bystander,
+            starts: StartForecast::default(),
             domain_stats: BTreeMap::new(),
             template: None,
         }
@@ -106,6 +109,7 @@
             // capacity; only overload refuses it.
             self.schedule(now, &mut actions);
             self.refuse_expired(now, &mut actions);
+            self.starts.record_queue(now, self.queue.on_time_len() > 0);
             self.advise_waiting(now, &mut actions);
             self.report_room(now, &mut actions);
             self.cancel_orphans(now, &mut actions);
@@ -282,6 +286,7 @@
                 self.record_claim(now, claim);
             }
             ShardMessage::Progress(attempt, tokens) => {
+                self.record_first_token(now, &attempt, tokens);
                 self.pool.record_progress(now, &attempt, tokens);
             }
             ShardMessage::Release(attempt, outcome) => self.release(now, &attempt, outcome),
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -135,7 +135,10 @@
         }
         let prefill = template.prefill_tokens_per_second.time_for(request.prompt);
         let transfer = template.link_tokens_per_second.time_for(request.prompt);
-        request.first_token_within.saturating_sub(prefill + transfer).max(MIN_QUEUE_TIMEOUT)
+        let time = request.first_token_within.saturating_sub(prefill + transfer);
+        let time =
+            if template.leaving_cost.is_some() { self.starts.time_to_wait(time) } else { time };
+        time.max(MIN_QUEUE_TIMEOUT)
     }
 
     /// Grants a request at once if none is queued before it.
@@ -206,6 +209,11 @@
     ) -> f64 {
         let account = &waiting.request.account;
         let rate = self.shard_rate(now, template, &waiting.request);
+        let drain_rate = self
+            .starts
+            .drain_rate(now)
+            .filter(|_| template.leaving_cost.is_some() && !waiting.request.is_late());
+        let rate = drain_rate.map_or(rate, |drain_rate| rate.min(drain_rate));
         let held = f64::from(self.queue.slots_held_by(account));
         // An account below its share is served before the others.
         if held < self.share_of(account) * f64::from(self.pool.usable(now).run) {
@@ -318,6 +326,7 @@
             }
             if let Some(granted) = self.grant(now, template, &waiting) {
                 self.queue.remove(&waiting.request.attempt);
+                self.starts.record_grant(now);
                 return Some((waiting.from, granted));
             }
         }
--- a/src/coordination/shard/ledger/claims.rs
+++ b/src/coordination/shard/ledger/claims.rs
@@ -3,6 +3,7 @@
 use super::{ShardAction, ShardLedger};
 use crate::coordination::claims::digest_claims;
 use crate::coordination::messages::{ClaimPhase, ReleaseOutcome, ShardMessage, SlotClaim};
+use crate::coordination::shard::pool::HeldClaim;
 use crate::prelude::*;
 use std::collections::BTreeSet;
 
@@ -35,6 +36,19 @@
         self.refresh_account(&account);
     }
 
+    /// Records how long a run took from its grant to its first token, if these are its first ones.
+    pub(super) fn record_first_token(&mut self, now: Instant, attempt: &AttemptId, tokens: Tokens) {
+        let is_first = |held: &&HeldClaim| {
+            held.progress.is_none_or(|progress| progress.tokens == Tokens(0))
+                && held.cancelling.is_none()
+                && tokens > Tokens(0)
+        };
+        let Some(held) = self.pool.claim(attempt).filter(is_first) else { return };
+        let prompt = KvBlocks(held.claim.kv_blocks.0.saturating_sub(held.claim.growth.0));
+        let took = now.saturating_duration_since(held.since);
+        self.starts.record_first_token(took.saturating_sub(self.prefill_time(prompt)));
+    }
+
     /// Returns the time for which a worker of usual speed computes a prompt of this many blocks.
     fn prefill_time(&self, prompt: KvBlocks) -> Duration {
         let Some(template) = &self.template else { return Duration::ZERO };
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -15,6 +15,7 @@
 mod recovery;
 mod refusals;
 mod retry_schedule;
+mod starts;
 
 pub use estimate::RequestStats;
 pub use forecast::{RunForecast, peak};
@@ -25,3 +26,4 @@
 };
 pub use lifetimes::LifeTable;
 pub use pool::{LoadReport, MAX_NEWS, UpstreamNews};
+pub use starts::StartForecast;
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -6,6 +6,7 @@
 mod picture;
 mod preview;
 mod speed;
+mod starts;
 mod urgency;
 
 use apricotrun::coordination::claims::digest_claims;
