--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -109,7 +109,6 @@
             // capacity; only overload refuses it.
             self.schedule(now, &mut actions);
             self.refuse_expired(now, &mut actions);
-            self.starts.record_queue(now, self.queue.on_time_len() > 0);
             self.advise_waiting(now, &mut actions);
             self.report_room(now, &mut actions);
             self.cancel_orphans(now, &mut actions);
--- a/src/coordination/shard/ledger/admission.rs
+++ b/src/coordination/shard/ledger/admission.rs
@@ -209,11 +209,6 @@
     ) -> f64 {
         let account = &waiting.request.account;
         let rate = self.shard_rate(now, template, &waiting.request);
-        let drain_rate = self
-            .starts
-            .drain_rate(now)
-            .filter(|_| template.leaving_cost.is_some() && !waiting.request.is_late());
-        let rate = drain_rate.map_or(rate, |drain_rate| rate.min(drain_rate));
         let held = f64::from(self.queue.slots_held_by(account));
         // An account below its share is served before the others.
         if held < self.share_of(account) * f64::from(self.pool.usable(now).run) {
@@ -326,7 +321,6 @@
             }
             if let Some(granted) = self.grant(now, template, &waiting) {
                 self.queue.remove(&waiting.request.attempt);
-                self.starts.record_grant(now);
                 return Some((waiting.from, granted));
             }
         }
--- a/src/coordination/shard/starts.rs
+++ b/src/coordination/shard/starts.rs
@@ -1,12 +1,10 @@
-//! Forecasts until when a request may start, and how soon it will.
+//! Forecasts how long a request takes from its grant to its first token, and so until when it may start.
 //!
 //! Answers this load: requests arrive faster than decode room frees for some seconds, so each waits
 //! until just before its latest start. A latest start that is too late wastes the room on responses
-//! that miss their target, and a rate that is too high lets requests wait in vain. See
-//! docs/design/latest-start.md.
+//! that miss their target. See docs/design/latest-start.md.
 
 use crate::prelude::*;
-use std::collections::VecDeque;
 
 /// The fraction of requests whose time to the first token is within the margin.
 const MARGIN_QUANTILE: f64 = 0.8;
@@ -16,18 +14,10 @@
 const MAX_MARGIN_FRACTION: f64 = 0.5;
 /// The largest sample, since the report of a first token may be lost.
 const MAX_SAMPLE: Duration = Duration::from_millis(500);
-/// The time over which grants are counted.
-const DRAIN_WINDOW: Duration = Duration::from_secs(1);
-/// How long requests must have waited before the grants of that time are a rate.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 
 /// What the owner of a shard has measured of the starts that it granted.
 #[derive(Debug, Default)]
 pub struct StartForecast {
-    /// When requests began to wait, if any wait.
-    busy_since: Option<Instant>,
-    /// The recent grants of waiting requests, the oldest first.
-    grants: VecDeque<Instant>,
     margin: Duration,
 }
 
@@ -44,35 +34,4 @@
     pub fn time_to_wait(&self, time: Duration) -> Duration {
         time - self.margin.min(time.mul_f64(MAX_MARGIN_FRACTION))
     }
-
-    /// Records whether requests wait now.
-    pub fn record_queue(&mut self, now: Instant, is_waiting: bool) {
-        if !is_waiting {
-            self.busy_since = None;
-            self.grants.clear();
-        } else if self.busy_since.is_none() {
-            self.busy_since = Some(now);
-        }
-    }
-
-    /// Records the grant of a request that had waited.
-    pub fn record_grant(&mut self, now: Instant) {
-        self.grants.push_back(now);
-        self.prune(now);
-    }
-
-    /// Returns at how many requests a second the queue has lately been served; `None` if it has not been
-    /// long enough, or nothing was granted.
-    pub fn drain_rate(&self, now: Instant) -> Option<f64> {
-        let busy = now.saturating_duration_since(self.busy_since?);
-        let recent = self.grants.iter().filter(|at| now < **at + DRAIN_WINDOW).count();
-        let time = busy.min(DRAIN_WINDOW);
-        (busy >= MIN_DRAIN_TIME && recent > 0).then(|| recent as f64 / time.as_secs_f64())
-    }
-
-    fn prune(&mut self, now: Instant) {
-        while self.grants.front().is_some_and(|at| *at + DRAIN_WINDOW <= now) {
-            self.grants.pop_front();
-        }
-    }
 }
