A host with an older configuration does not take requests that another host passes on

A host that reaches no upstream passes its requests on to others of its domain, which decide by their own configuration. One that lagged behind when the store went answers 404, and the caller takes it for the first host's answer.

Change: the header of a request that is passed on names the revision by which it was accepted; a host with an older one says that it cannot take it, and the next one is tried. If none can, the request is refused: it has not run.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -51,6 +51,8 @@
     pub relayed: bool,
     /// The memory reserved for the body.
     pub reservation: BodyReservation,
+    /// The revision of the configuration by which it was accepted.
+    pub revision: Revision,
     /// Path and query, forwarded unchanged.
     pub uri: Uri,
 }
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -5,7 +5,7 @@
 use crate::transport::gateway::bodies::BodyError;
 use crate::transport::gateway::forward::InboundRequest;
 use crate::transport::gateway::heads::{HeadTimer, TimedStream};
-use crate::transport::gateway::relay::RELAYED;
+use crate::transport::gateway::relay::{RELAYED, is_ahead, refuse_relayed};
 use crate::transport::gateway::reply::{
     ResponseBody, drop_connection_headers, refusal_response, text_response,
 };
@@ -171,6 +171,9 @@
     };
     let accepted = gateway.node.clock.now();
     let (parts, body) = request.into_parts();
+    if is_ahead(&parts.headers, routes.revision) {
+        return refuse_relayed();
+    }
     let Some(rule) = find_route(&routes, &parts) else {
         if gateway.node.log_limiter.permits(DecisionKind::Unserved) {
             log::info!(path = parts.uri.path(), revision = routes.revision.0; "entry: no route");
@@ -222,8 +225,18 @@
     }
     let relayed = headers.remove(RELAYED).is_some();
     let (method, uri) = (parts.method, parts.uri);
-    let inbound =
-        InboundRequest { body, head, headers, identity, method, relayed, reservation, uri };
+    let revision = routes.revision;
+    let inbound = InboundRequest {
+        body,
+        head,
+        headers,
+        identity,
+        method,
+        relayed,
+        reservation,
+        revision,
+        uri,
+    };
     ForwardedRequest { accepted, deadline, gateway, guard, inbound, routes, rule }.serve().await
 }
 
--- a/src/transport/gateway/relay.rs
+++ b/src/transport/gateway/relay.rs
@@ -9,7 +9,7 @@
 use crate::transport::gateway::start::Gateway;
 use crate::transport::node::lock;
 use http::header::HeaderName;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::Full;
 use metrics::counter;
 use rand::seq::SliceRandom;
@@ -19,7 +19,8 @@
 use tokio::time::timeout;
 
 /// Marks a request that another host has passed on, which is not passed on again, and the refusal
-/// of a host that reaches no upstream either.
+/// of a host that cannot take it. In a request it holds the revision of the configuration by which the
+/// other host has accepted it.
 pub const RELAYED: HeaderName = HeaderName::from_static("apricotrun-relayed");
 /// The number of hosts that are tried for one request.
 const MAX_HOSTS: usize = 4;
@@ -58,7 +59,8 @@
 
 impl Gateway {
     /// Passes a request on to another host, which answers it like one of its own callers'. Another
-    /// host is tried only if the one before has certainly not taken the request.
+    /// host is tried only if the one before has certainly not taken the request. A host with an older
+    /// configuration does not take it, since callers of this one may have seen the newer one already.
     pub async fn relay(&self, inbound: &InboundRequest, deadline: Instant) -> RelayOutcome {
         for record in self.relay_hosts() {
             let now = self.node.clock.now();
@@ -74,7 +76,7 @@
             if let Some(identity) = &inbound.identity {
                 self.dialect.write_key(&identity.key, request.headers_mut());
             }
-            request.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
+            request.headers_mut().insert(RELAYED, HeaderValue::from(inbound.revision.0));
             self.dialect.write_timeout(left, request.headers_mut());
             let key = (record.http, name);
             let sent = self.relay_connections.send(&key, CONNECTION_LIMIT, request);
@@ -116,8 +118,13 @@
     }
 }
 
-/// Returns the refusal of a host that reaches no upstream to the host that has passed a request on
-/// to it.
+/// Returns whether another host has accepted a request by a configuration newer than `revision`.
+pub fn is_ahead(headers: &HeaderMap, revision: Revision) -> bool {
+    let accepted_by = headers.get(RELAYED).and_then(|value| value.to_str().ok()?.parse().ok());
+    accepted_by.is_some_and(|accepted_by: u64| accepted_by > revision.0)
+}
+
+/// Returns the refusal of a host that cannot take a request to the host that has passed it on.
 pub fn refuse_relayed() -> Response<ResponseBody> {
     let mut response = refusal_response(&Refusal::not_run(RefusalReason::NoUpstream));
     response.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
