Hosts know each other again within two seconds of a network partition

Cause: a host that is held for dead has to hear of it to refute it. Each host contacted one dead member a second, and the refutations spread by gossip only.

Change: when a member returns that was held for dead, for two seconds dead members are contacted every 100 ms instead of every second, the one that returned is asked for its member list (every 300 ms at most), its list is believed over own deaths of the same version, and suspicions of others are probed too. A host that had held all others for dead takes the first message for such a return. The cost does not depend on the size of the fleet but for the list, which exists already.

Ruled out: dropping all deaths after a partition, since hosts that died meanwhile would count as running without any evidence; believing lists at any time, since they are older than the deaths.

--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -116,6 +116,10 @@
     next_sync: Instant,
     next_probe: Instant,
     next_reconnect: Instant,
+    /// When a member that was held for dead has last returned.
+    returned_at: Option<Instant>,
+    /// When a member that had returned was last asked for its member list.
+    asked_returned_at: Option<Instant>,
     /// The members of the own failure domain that this round has yet to probe, the next one last.
     probe_order: Vec<HostName>,
     probe: Option<PendingProbe>,
@@ -141,6 +145,8 @@
             next_sync: now + FIRST_SYNC_DELAY,
             next_probe: now,
             next_reconnect: now,
+            returned_at: None,
+            asked_returned_at: None,
             probe_order: Vec::new(),
             probe: None,
             probe_count: 0,
@@ -156,7 +162,10 @@
     pub fn handle(&mut self, now: Instant, event: MemberEvent) -> Vec<MemberAction> {
         let mut out = Vec::new();
         match event {
-            MemberEvent::Received(from, message) => self.receive(now, from, message, &mut out),
+            MemberEvent::Received(from, message) => {
+                self.end_isolation(now, from, &mut out);
+                self.receive(now, from, message, &mut out);
+            }
             MemberEvent::Crashes(crashes) => self.crashes = crashes,
             MemberEvent::Era(era) => self.era = self.era.max(era),
             MemberEvent::Revision(revision) => self.revision = revision,
@@ -348,13 +357,20 @@
             return self.refute(&record);
         }
         let known = self.members.get(&record.daemon.host);
-        if known.is_some_and(|entry| precedence(&entry.record) >= precedence(&record)) {
+        let heals = self.is_healing(now);
+        if known.is_some_and(|entry| entry.prevails_over(&record, heals)) {
             return;
         }
         if known.is_none() && record.state == MemberState::Dead {
             return;
         }
         let before = known.map(|entry| (entry.record.daemon.clone(), entry.record.state));
+        let is_return = before
+            .as_ref()
+            .is_some_and(|(daemon, state)| *state == MemberState::Dead && *daemon == record.daemon);
+        if is_return {
+            self.record_return(now, record.peer, out);
+        }
         let after = (record.daemon.clone(), record.state);
         self.put_record(now, record);
         // A suspect member keeps its roles until it is declared dead.
@@ -434,6 +450,19 @@
     }
 }
 
+impl MemberEntry {
+    /// Returns whether another record of the same host says nothing new. While a partition heals, a death
+    /// is given up for a record of the same version: the host cannot have refuted what it has not heard.
+    fn prevails_over(&self, record: &MemberRecord, heals: bool) -> bool {
+        let is_denied = heals
+            && !self.has_left
+            && (self.record.state, record.state) == (MemberState::Dead, MemberState::Alive)
+            && (record.daemon.incarnation, record.version)
+                == (self.record.daemon.incarnation, self.record.version);
+        !is_denied && precedence(&self.record) >= precedence(record)
+    }
+}
+
 /// Returns the sort key by which the newer of two records of one host wins: the incarnation, then
 /// the version, then the state.
 fn precedence(record: &MemberRecord) -> (Incarnation, u32, MemberState) {
--- a/src/coordination/membership/probing.rs
+++ b/src/coordination/membership/probing.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
+use std::net::SocketAddr;
 
 /// The time without an ack after which a direct probe is followed by indirect ones.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(80);
@@ -23,6 +24,13 @@
 /// The interval at which a daemon without peers contacts its seeds, and every daemon contacts one
 /// dead member.
 const RECONNECT_PERIOD: Duration = Duration::from_secs(1);
+/// The interval at which every daemon contacts one dead member while dead members return: a network
+/// partition has ended, and most of them run.
+const HEALING_PERIOD: Duration = Duration::from_millis(100);
+/// The shortest interval between two requests for the member lists of members that have returned.
+const HEALING_SYNC_PERIOD: Duration = Duration::from_millis(300);
+/// For how long after the last return [`HEALING_PERIOD`] applies.
+const HEALING_TIME: Duration = Duration::from_secs(2);
 /// The maximum number of seeds that are asked for their member lists. More would only repeat the
 /// same list, which takes 20 KB at the fleet size planned for in two years.
 const MAX_JOIN_SEEDS: usize = 6;
@@ -37,11 +45,12 @@
         if now >= self.next_probe {
             self.next_probe = now + PROBE_PERIOD;
             self.expire_probe(now);
-            self.probe_suspects(out);
+            self.probe_suspects(now, out);
             self.start_probe(now, out);
         }
         if now >= self.next_reconnect {
-            self.next_reconnect = now + RECONNECT_PERIOD;
+            let heals = self.is_healing(now);
+            self.next_reconnect = now + if heals { HEALING_PERIOD } else { RECONNECT_PERIOD };
             self.reconnect(out);
         }
         if now >= self.next_sync {
@@ -97,12 +106,13 @@
     }
 
     /// Probes the members that this daemon suspects again, so that they learn of the suspicion in
-    /// time to refute it.
-    pub(super) fn probe_suspects(&mut self, out: &mut Vec<MemberAction>) {
-        let suspects = self
-            .members
-            .values()
-            .filter(|entry| entry.record.state == MemberState::Suspect && entry.suspected_locally);
+    /// time to refute it. While a partition heals, it does so for suspicions of others too: those who
+    /// raised them may not have heard the refutation.
+    pub(super) fn probe_suspects(&mut self, now: Instant, out: &mut Vec<MemberAction>) {
+        let heals = self.is_healing(now);
+        let suspects = self.members.values().filter(|entry| {
+            entry.record.state == MemberState::Suspect && (entry.suspected_locally || heals)
+        });
         let suspects: Vec<_> =
             suspects.take(MAX_SUSPECT_PROBES).map(|entry| entry.record.clone()).collect();
         for record in suspects {
@@ -198,6 +208,39 @@
         foreign.choose(&mut self.rng).cloned()
     }
 
+    /// Returns whether a network partition has probably just ended.
+    pub(super) fn is_healing(&self, now: Instant) -> bool {
+        self.returned_at.is_some_and(|at| now < at + HEALING_TIME)
+    }
+
+    /// Records that a member has returned that was held for dead, and asks it which others run.
+    pub(super) fn record_return(
+        &mut self,
+        now: Instant,
+        peer: SocketAddr,
+        out: &mut Vec<MemberAction>,
+    ) {
+        self.returned_at = Some(now);
+        self.next_reconnect = self.next_reconnect.min(now + HEALING_PERIOD);
+        if self.asked_returned_at.is_none_or(|at| now >= at + HEALING_SYNC_PERIOD) {
+            self.asked_returned_at = Some(now);
+            out.push(MemberAction::Send(peer, GossipMessage::Join(self.me.clone())));
+        }
+    }
+
+    /// If this daemon has held all others for dead, another one that contacts it shows that this daemon
+    /// itself was isolated.
+    pub(super) fn end_isolation(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        out: &mut Vec<MemberAction>,
+    ) {
+        if !self.members.is_empty() && !self.has_peers() {
+            self.record_return(now, from, out);
+        }
+    }
+
     /// Contacts the seeds while this daemon knows no running member, and pings one random dead
     /// member, so that both sides of a healed network partition find each other.
     pub(super) fn reconnect(&mut self, out: &mut Vec<MemberAction>) {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -82,6 +82,38 @@
     });
 }
 
+/// The time within which hosts know each other again after a partition. Hosts count as in touch 3 s after
+/// its end, and requests must reach the right owners before.
+const HEAL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Cuts off hosts of a fleet for six seconds, and returns the time from then until no host takes another
+/// one for dead, which would give its roles to others.
+fn heal_after(cut: impl Fn(usize, usize) -> bool) -> Duration {
+    let mut network = MemberNetwork::new(FLEET_SIZE, 4, 0.01);
+    network.run(Duration::from_secs(10));
+    let pairs = (0..FLEET_SIZE).flat_map(|from| (0..FLEET_SIZE).map(move |to| (from, to)));
+    network.blocked_links.extend(pairs.filter(|(from, to)| cut(*from, *to)));
+    network.run(Duration::from_secs(6));
+    assert!(network.count_false_deaths() > FLEET_SIZE, "the cut has no effect");
+    network.blocked_links.clear();
+    network.run_until(Duration::from_secs(30), |network| network.count_false_deaths() == 0)
+}
+
+/// Guards against a fleet that still sees itself in parts for 4 s after a failure domain was cut off, as
+/// on trouble-2 of the returns site: each host contacted one dead member a second.
+#[test]
+fn failure_domain_that_was_cut_off_is_known_again_within_two_seconds() {
+    let took = heal_after(|from, to| (from % 4 == 1) != (to % 4 == 1));
+    assert!(took <= HEAL_LIMIT, "{took:?}");
+}
+
+/// The same for single hosts that were isolated and have declared all others dead.
+#[test]
+fn isolated_hosts_are_known_again_within_two_seconds() {
+    let took = heal_after(|from, to| from % 3 == 0 || to % 3 == 0);
+    assert!(took <= HEAL_LIMIT, "{took:?}");
+}
+
 #[test]
 fn leaving_member_keeps_running_but_gets_no_role() {
     let mut network = MemberNetwork::new(3, 1, 0.0);
