--- a/src/coordination/shard/ledger.rs
+++ b/src/coordination/shard/ledger.rs
@@ -132,7 +132,13 @@
             slots_of: row.spec.slots,
             usable: row.usable,
         });
-        ShardStatus { role: self.role, waiting: self.queue.len(), upstreams: rows.collect() }
+        let uses_margin = self.template.as_ref().is_some_and(|t| t.leaving_cost.is_some());
+        ShardStatus {
+            role: self.role,
+            start_margin: uses_margin.then(|| self.starts.margin()),
+            waiting: self.queue.len(),
+            upstreams: rows.collect(),
+        }
     }
 
     /// Returns the average demand of a request, or `None` if this daemon does not own the shard or
--- a/src/coordination/shard/ledger/events.rs
+++ b/src/coordination/shard/ledger/events.rs
@@ -83,6 +83,9 @@
 pub struct ShardStatus {
     /// This daemon's role in the shard.
     pub role: ShardRole,
+    /// The time that requests must leave for their first token beyond that of an idle worker; `None` where
+    /// it is not taken into account.
+    pub start_margin: Option<Duration>,
     /// The number of requests that wait in the queue.
     pub waiting: usize,
     /// The upstreams of the shard, by name.
--- a/src/coordination/shard/starts.rs
+++ b/src/coordination/shard/starts.rs
@@ -30,6 +30,11 @@
         };
     }
 
+    /// Returns the time that requests must leave for their first token beyond that of an idle worker.
+    pub fn margin(&self) -> Duration {
+        self.margin
+    }
+
     /// Returns how long a request may wait that needs to start within `time` at an idle worker.
     pub fn time_to_wait(&self, time: Duration) -> Duration {
         time - self.margin.min(time.mul_f64(MAX_MARGIN_FRACTION))
--- a/src/transport/shards.rs
+++ b/src/transport/shards.rs
@@ -179,7 +179,11 @@
             let service = service.to_string();
             let slots: u32 = status.upstreams.iter().map(|upstream| upstream.slots).sum();
             gauge!("apricotrun_slots_held", "service" => service.clone()).set(f64::from(slots));
-            gauge!("apricotrun_waiting", "service" => service).set(status.waiting as f64);
+            gauge!("apricotrun_waiting", "service" => service.clone()).set(status.waiting as f64);
+            if let Some(margin) = status.start_margin {
+                gauge!("apricotrun_start_margin_seconds", "service" => service)
+                    .set(margin.as_secs_f64());
+            }
         }
     }
 }
