--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -116,7 +116,7 @@
     next_sync: Instant,
     next_probe: Instant,
     next_reconnect: Instant,
-    /// When a member that was held for dead has last returned.
+    /// When a member that had been declared dead has last returned.
     returned_at: Option<Instant>,
     /// When a member that had returned was last asked for its member list.
     asked_returned_at: Option<Instant>,
--- a/src/coordination/membership/probing.rs
+++ b/src/coordination/membership/probing.rs
@@ -213,7 +213,7 @@
         self.returned_at.is_some_and(|at| now < at + HEALING_TIME)
     }
 
-    /// Records that a member has returned that was held for dead, and asks it which others run.
+    /// Records that a member has returned that had been declared dead, and asks it which others run.
     pub(super) fn record_return(
         &mut self,
         now: Instant,
@@ -228,7 +228,7 @@
         }
     }
 
-    /// If this daemon has held all others for dead, another one that contacts it shows that this daemon
+    /// If this daemon has declared all others dead, another one that contacts it shows that this daemon
     /// itself was isolated.
     pub(super) fn end_isolation(
         &mut self,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -86,8 +86,8 @@
 /// its end, and requests must reach the right owners before.
 const HEAL_LIMIT: Duration = Duration::from_secs(2);
 
-/// Cuts off hosts of a fleet for six seconds, and returns the time from then until no host takes another
-/// one for dead, which would give its roles to others.
+/// Cuts off hosts of a fleet for six seconds, and returns the time from then until no host has declared
+/// a running one dead, which gives its roles to others. A suspect keeps its roles.
 fn heal_after(cut: impl Fn(usize, usize) -> bool) -> Duration {
     let mut network = MemberNetwork::new(FLEET_SIZE, 4, 0.01);
     network.run(Duration::from_secs(10));
