--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -10,9 +10,15 @@
 use std::thread;
 use std::time::Duration;
 
+/// How many bytes a worker in trouble writes at a time, and the pause after them: 1,000 Mbit/s.
+const ENDLESS_BYTES: usize = 64 * 1024;
+const ENDLESS_PAUSE: Duration = Duration::from_micros(500);
+
 struct Process {
     connections: Mutex<Vec<TcpStream>>,
     ended: AtomicBool,
+    /// Whether bodies come without end, as bytes that are no answer.
+    endless: AtomicBool,
     version: String,
 }
 
@@ -46,6 +52,7 @@
         let process = Arc::new(Process {
             connections: Mutex::default(),
             ended: AtomicBool::new(false),
+            endless: AtomicBool::new(false),
             version: version.to_owned(),
         });
         // The port of a process that has just ended may take a moment to be free.
@@ -75,6 +82,13 @@
         });
     }
 
+    /// Begins or ends the disruption: bodies are line feeds without end, until the caller closes.
+    pub fn set_endless(&self, endless: bool) {
+        if let Some(process) = self.process.lock().unwrap().as_ref() {
+            process.endless.store(endless, Ordering::SeqCst);
+        }
+    }
+
     /// Ends the process: it listens no more, and its channels close.
     pub fn end(&self) {
         let Some(process) = self.process.lock().unwrap().take() else { return };
@@ -129,6 +143,18 @@
          Server-Seal: {name}.{id}\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     let mut sound = writer.write_all(head.as_bytes()).is_ok();
+    if process.endless.load(Ordering::SeqCst) {
+        record.line(&format!("worker {name} sends a body without end for {id}"));
+        let bytes = [&format!("{ENDLESS_BYTES:x}\r\n").into_bytes()[..], &[b'\n'; ENDLESS_BYTES], b"\r\n"].concat();
+        let mut sent = 0;
+        while sound {
+            sound = writer.write_all(&bytes).is_ok();
+            sent += ENDLESS_BYTES;
+            thread::sleep(ENDLESS_PAUSE);
+        }
+        record.line(&format!("the caller closes the channel of {id} after {} KB", sent / 1024));
+        return false;
+    }
     for index in after + 1..=events {
         thread::sleep(gap);
         let event = format!("id: {index}\ndata: token {index} of {version}\n\n");
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Returns the memory of the process in megabytes; `None` while there is none.
+    pub fn memory_mb(&self) -> Option<f64> {
+        let id = self.process.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: f64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+        Some(kilobytes / 1024.0)
+    }
+
     pub fn is_ready(&self) -> bool {
         let head = "GET /-/readyz HTTP/1.1\r\nHost: platform\r\n";
         let answer = call(self.readiness, head, b"", Duration::from_secs(1));
