--- a/review/standins/missed_changes.rs
+++ b/review/standins/missed_changes.rs
@@ -184,7 +184,9 @@
     }
     beats.join().map_err(|_| "the heartbeats failed".to_owned())?;
     drop(machines);
-    drop(std::fs::remove_dir_all(&temp));
+    if std::env::var("KEEP_LOGS").is_err() {
+        drop(std::fs::remove_dir_all(&temp));
+    }
 
     // Only the machine that was cut off has to be in touch again before it is judged.
     let (last, last_at) = *confirmed.lock().unwrap().last().ok_or("no version was confirmed")?;
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{read_message, serve, write_response, Message};
 use crate::record::Record;
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -28,8 +28,16 @@
     delay: Duration,
     record: Record,
     runs: Runs,
+    /// Counts requests on kept channels while additional bytes are sent; see [`Worker::spoil`].
+    spoiled: Arc<Mutex<Option<usize>>>,
 }
 
+/// Every how many requests on kept channels get additional bytes: 0.05 of them.
+const SPOILED_EVERY: usize = 20;
+
+/// What a faulty worker sends after a complete response, but late: bytes that belong to no request.
+pub const ADDITIONAL: &str = "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\nbytes that nobody asked for";
+
 impl Worker {
     pub fn start(name: &str, service: &str, delay: Duration, record: &Record, runs: &Runs) -> Self {
         let worker = Self {
@@ -39,6 +47,7 @@
             delay,
             record: record.clone(),
             runs: runs.clone(),
+            spoiled: Arc::default(),
         };
         let handler = worker.clone();
         let address = serve(move |stream| handler.serve(stream));
@@ -55,10 +64,36 @@
         )
     }
 
+    /// Begins or ends the disruption: of some complete responses, additional bytes arrive late, when
+    /// the next response is expected on the channel.
+    pub fn spoil(&self, spoils: bool) {
+        *self.spoiled.lock().unwrap() = spoils.then_some(0);
+    }
+
+    fn is_spoiled(&self) -> bool {
+        match self.spoiled.lock().unwrap().as_mut() {
+            Some(count) => {
+                *count += 1;
+                *count % SPOILED_EVERY == 0
+            }
+            None => false,
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
+        let mut is_kept = false;
         while let Some(request) = read_message(&mut reader) {
+            if std::mem::replace(&mut is_kept, true) && self.is_spoiled() {
+                self.record.line(&format!(
+                    "worker {} sends the additional bytes of its last response, as {} arrives",
+                    self.name, request.header("request-id").unwrap_or_default()
+                ));
+                if writer.write_all(ADDITIONAL.as_bytes()).is_err() {
+                    return;
+                }
+            }
             if !self.answer(&request, &mut writer) {
                 return;
             }
