--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Stops the process as planned: SIGTERM, and SIGKILL after `grace`. Returns when it has ended.
+    pub fn stop(&mut self, grace: Duration) {
+        let Some(process) = &mut self.process else { return };
+        let id = process.id().to_string();
+        drop(Command::new("kill").args(["-TERM", &id]).status());
+        let until = Instant::now() + grace;
+        while Instant::now() < until && matches!(process.try_wait(), Ok(None)) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+    }
+
     /// Returns the memory of the process in megabytes; `None` while there is none.
     pub fn memory_mb(&self) -> Option<f64> {
         let id = self.process.as_ref()?.id();
