--- a/review/standins/joined_versions.rs
+++ b/review/standins/joined_versions.rs
@@ -143,6 +143,8 @@
         record.line("edge-tyrol-a-1 is partitioned from the store");
     }
     let cut_at = Instant::now();
+    // What was written right before the cut may still be on its way.
+    thread::sleep(Duration::from_millis(200));
     for index in [1, 0] {
         let name = engines[index].name.clone();
         draining[index].store(true, Ordering::SeqCst);
