--- a/review/standins/endless_body.rs
+++ b/review/standins/endless_body.rs
@@ -164,7 +164,8 @@
                         host.kill();
                         ends.lock().unwrap()[index] += 1;
                         record.line(&format!(
-                            "{} uses {memory:.0} MB of {MEMORY_MB} MB and is killed", host.name
+                            "{} uses {memory:.0} MB of {MEMORY_MB} MB and is killed",
+                            host.name
                         ));
                         thread::sleep(RESTART);
                         host.start(false);
@@ -202,7 +203,9 @@
     );
     record.line(&text);
     if failed >= 2 {
-        record.line(&format!("BROKEN: on {failed} of 3 machines processes ended {ENDS} times or more"));
+        record.line(&format!(
+            "BROKEN: on {failed} of 3 machines processes ended {ENDS} times or more"
+        ));
     }
     println!("{text}");
     match served {
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -14,11 +14,17 @@
 const ENDLESS_BYTES: usize = 64 * 1024;
 const ENDLESS_PAUSE: Duration = Duration::from_micros(500);
 
+/// How many times as long a slow worker takes, and how often it sends a byte meanwhile.
+const SLOWNESS: u32 = 5;
+const BYTE_PERIOD: Duration = Duration::from_millis(250);
+
 struct Process {
     connections: Mutex<Vec<TcpStream>>,
     ended: AtomicBool,
     /// Whether bodies come without end, as bytes that are no answer.
     endless: AtomicBool,
+    /// Whether the worker is slow, and sends a byte now and then.
+    slow: AtomicBool,
     version: String,
 }
 
@@ -53,6 +59,7 @@
             connections: Mutex::default(),
             ended: AtomicBool::new(false),
             endless: AtomicBool::new(false),
+            slow: AtomicBool::new(false),
             version: version.to_owned(),
         });
         // The port of a process that has just ended may take a moment to be free.
@@ -89,6 +96,14 @@
         }
     }
 
+    /// Begins or ends the disruption: the worker is slow, and sends a line feed now and then while the
+    /// next event of a stream isn't ready. Between events, line feeds mean nothing.
+    pub fn set_slow(&self, slow: bool) {
+        if let Some(process) = self.process.lock().unwrap().as_ref() {
+            process.slow.store(slow, Ordering::SeqCst);
+        }
+    }
+
     /// Ends the process: it listens no more, and its channels close.
     pub fn end(&self) {
         let Some(process) = self.process.lock().unwrap().take() else { return };
@@ -116,7 +131,14 @@
     }
 }
 
-fn serve(process: &Process, name: &str, record: &Record, stream: TcpStream, events: usize, gap: Duration) {
+fn serve(
+    process: &Process,
+    name: &str,
+    record: &Record,
+    stream: TcpStream,
+    events: usize,
+    gap: Duration,
+) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_message(&mut reader) {
@@ -126,7 +148,15 @@
     }
 }
 
-fn answer(process: &Process, name: &str, record: &Record, request: &Message, writer: &mut TcpStream, events: usize, gap: Duration) -> bool {
+fn answer(
+    process: &Process,
+    name: &str,
+    record: &Record,
+    request: &Message,
+    writer: &mut TcpStream,
+    events: usize,
+    gap: Duration,
+) -> bool {
     let id = request.header("request-id").unwrap_or_default().to_owned();
     if request.path().starts_with("/-/") || request.path() == "/healthz" {
         return write_response(writer, "200 OK", &[("Instance-Id", name)], b"{}");
@@ -145,7 +175,9 @@
     let mut sound = writer.write_all(head.as_bytes()).is_ok();
     if process.endless.load(Ordering::SeqCst) {
         record.line(&format!("worker {name} sends a body without end for {id}"));
-        let bytes = [&format!("{ENDLESS_BYTES:x}\r\n").into_bytes()[..], &[b'\n'; ENDLESS_BYTES], b"\r\n"].concat();
+        let bytes =
+            [&format!("{ENDLESS_BYTES:x}\r\n").into_bytes()[..], &[b'\n'; ENDLESS_BYTES], b"\r\n"]
+                .concat();
         let mut sent = 0;
         while sound {
             sound = writer.write_all(&bytes).is_ok();
@@ -157,6 +189,20 @@
     }
     for index in after + 1..=events {
         thread::sleep(gap);
+        if process.slow.load(Ordering::SeqCst) {
+            let mut left = gap * (SLOWNESS - 1);
+            let mut bytes = 0;
+            while left > BYTE_PERIOD {
+                thread::sleep(BYTE_PERIOD);
+                left -= BYTE_PERIOD;
+                sound = sound && writer.write_all(b"1\r\n\n\r\n").is_ok();
+                bytes += 1;
+            }
+            thread::sleep(left);
+            record.line(&format!(
+                "worker {name} sends {bytes} line feeds before event {index} of {id}"
+            ));
+        }
         let event = format!("id: {index}\ndata: token {index} of {version}\n\n");
         sound = sound && !process.ended.load(Ordering::SeqCst);
         sound = sound && write!(writer, "{:x}\r\n{event}\r\n", event.len()).is_ok();
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -62,8 +62,15 @@
              metrics = \"{}\"\nnews_limit_ms = {}\npeer = \"{}\"\nreadiness = \"{}\"\n\
              remote_cost_ms = 5\nstop_grace_s = 8\nstore = \"{}\"\n\n\
              [retries]\nfloor = {}\nratio = 0.2\nwindow_s = 10\n",
-            self.zone, self.frontend, self.name, self.metrics, self.bounds.config_apply_ms,
-            self.peer, self.readiness, self.store, self.bounds.budget_slack,
+            self.zone,
+            self.frontend,
+            self.name,
+            self.metrics,
+            self.bounds.config_apply_ms,
+            self.peer,
+            self.readiness,
+            self.store,
+            self.bounds.budget_slack,
         );
         let path = self.folder.join(format!("{}.toml", self.name));
         fs::write(&path, settings).expect("the settings are written");
--- a/review/standins/late_bytes.rs
+++ b/review/standins/late_bytes.rs
@@ -89,7 +89,9 @@
                     let body = String::from_utf8_lossy(&answer.body).into_owned();
                     let seal = if sealed { "with" } else { "without" };
                     let status = answer.status();
-                    record.line(&format!("client gets {status} {seal} Server-Seal for {id}: {body:?}"));
+                    record.line(&format!(
+                        "client gets {status} {seal} Server-Seal for {id}: {body:?}"
+                    ));
                     answers.lock().unwrap().push((id, status, sealed, body));
                     thread::sleep(Duration::from_millis(10));
                 }
@@ -127,7 +129,8 @@
         ran += usize::from(has_run);
         record.line(&format!(
             "BROKEN: the client got 200 for {id} with bytes that are not the answer to it; the \
-             request {}", if has_run { "ran" } else { "did not run" }
+             request {}",
+            if has_run { "ran" } else { "did not run" }
         ));
     }
     let text = format!(
--- a/review/standins/missed_changes.rs
+++ b/review/standins/missed_changes.rs
@@ -64,7 +64,9 @@
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{}],\"limits\":\
          {{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}}}}",
-        routes.join(","), service("app-one"), service("app-two")
+        routes.join(","),
+        service("app-one"),
+        service("app-two")
     )
 }
 
@@ -77,7 +79,13 @@
     status: u16,
 }
 
-fn send(hosts: &[(String, std::net::SocketAddr)], host: usize, path: &str, record: &Record, probes: &Mutex<Vec<Probe>>) {
+fn send(
+    hosts: &[(String, std::net::SocketAddr)],
+    host: usize,
+    path: &str,
+    record: &Record,
+    probes: &Mutex<Vec<Probe>>,
+) {
     let (name, frontend) = &hosts[host];
     let mut known = probes.lock().unwrap();
     let id = format!("q{:05}", known.len());
@@ -195,7 +203,11 @@
     let (mut judged, mut old_service, mut not_found) = (0, 0, 0);
     for probe in probes.lock().unwrap().iter() {
         let touched = healed_at + STABLE_WINDOW;
-        let from = if probe.host == 0 { touched.max(last_at + CONFIG_APPLY) } else { last_at + CONFIG_APPLY };
+        let from = if probe.host == 0 {
+            touched.max(last_at + CONFIG_APPLY)
+        } else {
+            last_at + CONFIG_APPLY
+        };
         if probe.sent < from {
             continue;
         }
@@ -207,7 +219,10 @@
             record.line(&format!(
                 "BROKEN: {} (GET {}) was sent to {} at {} ms, {} ms after the confirmation of \
                  version {last}, and {}",
-                probe.id, probe.path, hosts[probe.host].0, record.ms(probe.sent),
+                probe.id,
+                probe.path,
+                hosts[probe.host].0,
+                record.ms(probe.sent),
                 (probe.sent - last_at).as_millis(),
                 if is_old { "ran at the old service" } else { "got 404" }
             ));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -202,9 +202,12 @@
             items.push(text);
         }
         let (items, revision) = (items.join(","), state.content.revision);
-        ("200 OK", format!(
-            "{{\"items\":[{items}],\"truncated\":{truncated},\"store_revision\":{revision}}}"
-        ))
+        (
+            "200 OK",
+            format!(
+                "{{\"items\":[{items}],\"truncated\":{truncated},\"store_revision\":{revision}}}"
+            ),
+        )
     }
 
     fn watch(&self, call: &Message) -> (&'static str, String) {
@@ -223,16 +226,18 @@
             if state.down {
                 return ("503 Service Unavailable", "{}".to_owned());
             }
-            let events = content.changes.iter().filter(|(_, key, item)| {
-                item.revision > after && key.starts_with(&prefix)
-            });
+            let events = content
+                .changes
+                .iter()
+                .filter(|(_, key, item)| item.revision > after && key.starts_with(&prefix));
             let events: Vec<_> = events.map(|(_, key, item)| item.json(key)).collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), content.revision);
-                return ("200 OK", format!(
-                    "{{\"events\":[{events}],\"store_revision\":{revision}}}"
-                ));
+                return (
+                    "200 OK",
+                    format!("{{\"events\":[{events}],\"store_revision\":{revision}}}"),
+                );
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -36,7 +36,8 @@
 const SPOILED_EVERY: usize = 20;
 
 /// What a faulty worker sends after a complete response, but late: bytes that belong to no request.
-pub const ADDITIONAL: &str = "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\nbytes that nobody asked for";
+pub const ADDITIONAL: &str =
+    "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\nbytes that nobody asked for";
 
 impl Worker {
     pub fn start(name: &str, service: &str, delay: Duration, record: &Record, runs: &Runs) -> Self {
@@ -88,7 +89,8 @@
             if std::mem::replace(&mut is_kept, true) && self.is_spoiled() {
                 self.record.line(&format!(
                     "worker {} sends the additional bytes of its last response, as {} arrives",
-                    self.name, request.header("request-id").unwrap_or_default()
+                    self.name,
+                    request.header("request-id").unwrap_or_default()
                 ));
                 if writer.write_all(ADDITIONAL.as_bytes()).is_err() {
                     return;
@@ -113,7 +115,11 @@
         let tenant = request.header("tenant").unwrap_or_default().to_owned();
         let run = Run { at: Instant::now(), id: id.clone(), service: self.service.clone(), tenant };
         self.record.line(&format!(
-            "worker {} of {} runs {} ({})", self.name, self.service, id, request.target()
+            "worker {} of {} runs {} ({})",
+            self.name,
+            self.service,
+            id,
+            request.target()
         ));
         self.runs.0.lock().unwrap().push(run);
         std::thread::sleep(self.delay);
