--- a/review/standins/endless_body.rs
+++ b/review/standins/endless_body.rs
@@ -28,7 +28,7 @@
 const EVENTS: usize = 70;
 const EVENT_GAP: Duration = Duration::from_millis(2);
 /// How long the worker is in trouble.
-const TROUBLE_TIME: Duration = Duration::from_secs(24);
+const TROUBLE_TIME: Duration = Duration::from_secs(36);
 /// How often the platform looks at the memory of a process.
 const LOOK: Duration = Duration::from_millis(5);
 /// How soon the platform starts a process again that has ended.
