--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -129,10 +130,23 @@
     address
 }
 
-/// Returns a loopback address with a port that is free now.
+/// The ports from which free ones are taken: below those that the kernel gives to clients, so that no
+/// client has the port of a process that starts again.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 16_000;
+
+/// Returns a loopback address with a port that is free now, another one each time.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let offset =
+            std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+        let port = (FIRST_PORT + offset % PORTS) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+    panic!("no port is free");
 }
 
 /// Sends one request on a new connection; `None` without a complete response in time.
