--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -21,11 +21,12 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use metrics::counter;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::Sender;
 
 /// Timeout of the connection attempt that shows whether an upstream still listens.
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
@@ -89,8 +90,8 @@
     service: ServiceName,
     /// What upstreams are told of the request's urgency.
     urgency: Option<UrgencyRank>,
-    /// Bounds what is held of a stream for the caller; `None` without a bound.
-    window: Option<Arc<StreamWindow>>,
+    /// Bounds what is held of a stream for the caller.
+    window: Arc<StreamWindow>,
 }
 
 impl ForwardExecutor {
@@ -102,7 +103,7 @@
         request: InboundRequest,
         urgency: Option<UrgencyRank>,
     ) -> Self {
-        let window = gateway.stream_window.map(|size| Arc::new(StreamWindow::new(size)));
+        let window = Arc::new(StreamWindow::new(gateway.stream_window));
         Self {
             window,
             gateway,
@@ -138,7 +139,7 @@
     }
 
     /// Returns the window of the stream, whose bytes are released as the caller takes them.
-    pub fn window(&self) -> Option<Arc<StreamWindow>> {
+    pub fn window(&self) -> Arc<StreamWindow> {
         self.window.clone()
     }
 
@@ -205,7 +206,7 @@
     async fn run_at(
         &self,
         run: &RunRequest,
-        events: &UnboundedSender<FlowEvent>,
+        events: &Sender<FlowEvent>,
     ) -> Result<FlowEvent, UpstreamFailure> {
         let handle = run.handle.as_ref().map(|handle| handle.0.as_str());
         let step = UpstreamStep::Run { resume_after: run.first_token, handle };
@@ -266,7 +267,7 @@
         run: &RunRequest,
         exchange: UpstreamExchange,
         head: &ResponseHead,
-        events: &UnboundedSender<FlowEvent>,
+        events: &Sender<FlowEvent>,
     ) -> Result<FlowEvent, UpstreamFailure> {
         let attempt = &run.target.context.attempt;
         let request_id = attempt.to_string();
@@ -280,11 +281,10 @@
                 *current = Some(response);
             }
         }
-        if let Some(window) = &self.window {
-            window.reset();
-        }
+        self.window.reset();
         let mut decoder = EventDecoder::default();
         let mut last = run.first_token;
+        let mut relayed = last;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| self.broken_stream())?;
             let Ok(data) = frame.into_data() else { continue };
@@ -299,15 +299,20 @@
             while let Some(event) = decoder.next_event().map_err(broken)? {
                 last = event.id.unwrap_or(last + 1);
                 let Some(index) = last.checked_sub(1) else { return Err(UpstreamFailure::Broken) };
-                let (attempt, request_id) = (attempt.clone(), request_id.clone());
-                if let Some(window) = &self.window {
-                    // The request ends by itself if nobody receives this.
-                    let tell = || drop(events.send(FlowEvent::CallerBehind(attempt.clone())));
-                    let clock = &*self.gateway.node.clock;
-                    window.acquire(clock, event.text.len(), tell).await;
+                if last <= relayed {
+                    // It would take a place in the window that no caller frees.
+                    counter!("apricotrun_foreign_tokens_dropped_total").increment(1);
+                    continue;
                 }
+                relayed = last;
+                let (attempt, request_id) = (attempt.clone(), request_id.clone());
+                // A full queue has events that the request has yet to handle, and one that has ended
+                // needs no word.
+                let tell = || drop(events.try_send(FlowEvent::CallerBehind(attempt.clone())));
+                let clock = &*self.gateway.node.clock;
+                self.window.acquire(clock, event.text.len(), tell).await;
                 let token = FlowEvent::Token { attempt, index, request_id, text: event.text };
-                if events.send(token).is_err() {
+                if events.send(token).await.is_err() {
                     return Err(UpstreamFailure::Broken);
                 }
             }
@@ -321,9 +326,9 @@
 
     /// Returns why a stream broke off: upstreams end a response that is not read for seconds.
     fn broken_stream(&self) -> UpstreamFailure {
-        match &self.window {
-            Some(window) if window.longest_wait() >= UNREAD_TIME => UpstreamFailure::Unread,
-            _ => UpstreamFailure::Broken,
+        match self.window.longest_wait() >= UNREAD_TIME {
+            true => UpstreamFailure::Unread,
+            false => UpstreamFailure::Broken,
         }
     }
 
@@ -396,7 +401,7 @@
     fn run<'a>(
         &'a self,
         run: &'a RunRequest,
-        events: &'a UnboundedSender<FlowEvent>,
+        events: &'a Sender<FlowEvent>,
     ) -> BoxFuture<'a, Result<FlowEvent, UpstreamFailure>> {
         Box::pin(async move {
             let last = self.run_at(run, events).await;
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -36,3 +36,4 @@
 pub use roles::RoleClient;
 pub use start::{AccountSettings, GatewaySettings, GatewaySetup, SettingsReader, run_gateway};
 pub use templates::DEFAULT_LEAVING_COST;
+pub use window::DEFAULT_WINDOW_BYTES;
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -56,7 +56,7 @@
         /// The later events.
         parts: Receiver<ResponsePart>,
         /// Bounds what is held of the stream.
-        window: Option<Arc<StreamWindow>>,
+        window: Arc<StreamWindow>,
     },
     /// The body of another host's response, as it arrives.
     Relayed {
@@ -102,7 +102,7 @@
                     Some(text) => Poll::Ready(Some(Ok(Frame::data(text.into())))),
                     None => poll_events(on_end, parts, context),
                 };
-                if let (Poll::Ready(Some(Ok(frame))), Some(window)) = (&frame, window) {
+                if let Poll::Ready(Some(Ok(frame))) = &frame {
                     window.release(frame.data_ref().map_or(0, Bytes::len));
                 }
                 frame
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -102,8 +102,8 @@
     pub retries: RetryLimits,
     /// The address of the platform's store.
     pub store: SocketAddr,
-    /// How many bytes of a stream are held for a caller that reads slowly; absent without a bound.
-    pub stream_window: Option<usize>,
+    /// How many bytes of a stream are held for a caller that reads slowly.
+    pub stream_window: usize,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub uses_urgency: bool,
 }
@@ -152,8 +152,8 @@
     pub(super) speeds_reported: AtomicBool,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub(super) uses_urgency: bool,
-    /// How many bytes of a stream are held for its caller; `None` without a bound.
-    pub(super) stream_window: Option<usize>,
+    /// How many bytes of a stream are held for its caller.
+    pub(super) stream_window: usize,
     /// Whether this host reaches upstreams.
     pub paths: Arc<PathWatch>,
     /// The connections to other hosts that requests are passed on to.
--- a/src/transport/gateway/window.rs
+++ b/src/transport/gateway/window.rs
@@ -1,4 +1,4 @@
-//! Bounds what a host holds of a stream for a caller that reads slowly. See
+//! Bounds what a host holds of a stream that its upstream sends faster than its caller reads. See
 //! docs/design/backpressure.md.
 
 use crate::prelude::*;
@@ -7,6 +7,12 @@
 
 /// The interval at which a request is told that its caller is behind.
 const BEHIND_PERIOD: Duration = Duration::from_millis(400);
+/// The least that an event counts as, in bytes. The memory of a queued event exceeds its text by some
+/// hundred bytes, so that events without content must count too.
+const MIN_EVENT_BYTES: usize = 64;
+/// The window of a stream unless the settings name another one, in bytes: a few hundred slow callers
+/// fit into a host of 88 MB.
+pub const DEFAULT_WINDOW_BYTES: usize = 64 * 1024;
 
 /// The bytes of one stream that have been read from its upstream and not yet been handed to the
 /// caller's connection.
@@ -26,7 +32,7 @@
     /// Takes the place of one event, and waits until the caller has read enough. `on_wait` is called
     /// now and then meanwhile. An event larger than the window takes all of it.
     pub async fn acquire(&self, clock: &dyn Clock, bytes: usize, on_wait: impl Fn()) {
-        let units = bytes.min(self.size) as u32;
+        let units = self.cost(bytes) as u32;
         let started = clock.now();
         let mut acquired = std::pin::pin!(self.free.acquire_many(units));
         loop {
@@ -47,7 +53,12 @@
     /// Gives back the place of an event that the caller's connection has taken.
     pub fn release(&self, bytes: usize) {
         let used = self.size.saturating_sub(self.free.available_permits());
-        self.free.add_permits(bytes.min(self.size).min(used));
+        self.free.add_permits(self.cost(bytes).min(used));
+    }
+
+    /// Returns what an event with a text of this many bytes takes of the window.
+    fn cost(&self, bytes: usize) -> usize {
+        bytes.max(MIN_EVENT_BYTES).min(self.size)
     }
 
     /// Returns the longest time for which the upstream had to wait for the caller.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -18,11 +18,13 @@
 use metrics::{counter, histogram};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::sync::mpsc::{self, Sender, UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{self, Receiver, Sender, UnboundedReceiver};
 use tokio::task::AbortHandle;
 
 /// The number of parts of a response that are buffered for a caller that reads slowly.
 const RESPONSE_QUEUE: usize = 256;
+/// The number of events of an attempt that are buffered until its request handles them.
+const ATTEMPT_QUEUE: usize = 1024;
 /// How long after the deadline a part may still wait for a caller that does not read.
 const SEND_GRACE: Duration = Duration::from_secs(1);
 /// How long the event loop sleeps while the flow has no timer set.
@@ -77,9 +79,10 @@
     trace: Box<dyn RequestTrace>,
 ) -> mpsc::Receiver<ResponsePart> {
     let (parts, receiver) = mpsc::channel(RESPONSE_QUEUE);
-    let (events, inbox) = mpsc::unbounded_channel();
+    let (attempt_sender, attempt_events) = mpsc::channel(ATTEMPT_QUEUE);
+    let (messages, inbox) = mpsc::unbounded_channel();
     let now = node.clock.now();
-    lock(&node.flows).insert(spec.id.sequence, events.clone());
+    lock(&node.flows).insert(spec.id.sequence, messages);
     let latency = LatencyRecord {
         accepted: now,
         inter_token_target: spec.inter_token_target,
@@ -94,7 +97,7 @@
         claim: None,
         deadline: spec.deadline,
         origin_lifetime: spec.origin_lifetime,
-        events,
+        attempt_sender,
         flow: RequestFlow::new(now, spec),
         request_id: request_id.to_owned(),
         latency,
@@ -111,7 +114,7 @@
     };
     let node = node.clone();
     tokio::spawn(async move {
-        driver.run(inbox).await;
+        driver.run(inbox, attempt_events).await;
         lock(&node.flows).remove(&sequence);
     });
     receiver
@@ -122,8 +125,10 @@
     accepted: Instant,
     /// The slot claim of the latest attempt; `None` before the first grant.
     claim: Option<SlotClaim>,
+    /// The sender of events for the tasks that call upstreams. It has a limit, as upstreams decide how
+    /// many events there are.
+    attempt_sender: Sender<FlowEvent>,
     deadline: Instant,
-    events: UnboundedSender<FlowEvent>,
     flow: RequestFlow,
     /// The caller's id of the request, for the log.
     request_id: String,
@@ -144,7 +149,11 @@
 }
 
 impl RequestDriver {
-    async fn run(mut self, mut inbox: UnboundedReceiver<FlowEvent>) {
+    async fn run(
+        mut self,
+        mut inbox: UnboundedReceiver<FlowEvent>,
+        mut attempt_events: Receiver<FlowEvent>,
+    ) {
         let mut disconnect_reported = false;
         let mut event = FlowEvent::Start;
         loop {
@@ -167,6 +176,11 @@
             event = tokio::select! {
                 biased;
                 Some(event) = inbox.recv() => event,
+                Some(event) = attempt_events.recv() => match event {
+                    // An upstream that never pauses would keep the request from its tick.
+                    FlowEvent::Token { .. } if self.is_overdue() => FlowEvent::Tick,
+                    event => event,
+                },
                 () = tokio::time::sleep(wake) => FlowEvent::Tick,
                 () = self.parts.closed(), if !disconnect_reported => {
                     disconnect_reported = true;
@@ -242,6 +256,10 @@
         self.delivery_failed = !matches!(sent, Ok(Ok(())));
     }
 
+    fn is_overdue(&self) -> bool {
+        self.node.clock.now() >= self.flow.deadline()
+    }
+
     fn age_ms(&self) -> u64 {
         (self.node.clock.now() - self.accepted).as_millis() as u64
     }
@@ -403,14 +421,14 @@
         self.count_wasted_prefill(false);
         let prefill = self.claim.as_ref().and_then(|claim| claim.prefill.clone());
         let Some(target) = prefill.map(|name| self.target(&attempt, address, name)) else { return };
-        let (events, executor) = (self.events.clone(), self.executor.clone());
+        let (events, executor) = (self.attempt_sender.clone(), self.executor.clone());
         counter!("apricotrun_prefill_tokens_total").increment(u64::from(self.prompt.0));
         let task = tokio::spawn(async move {
             let event = match executor.prefill(&target).await {
                 Ok(handle) => FlowEvent::PrefillDone(attempt, handle),
                 Err(failure) => FlowEvent::PrefillFailed(attempt, failure),
             };
-            send_event(&events, event);
+            send_event(&events, event).await;
         });
         self.task = Some(task.abort_handle());
     }
@@ -430,13 +448,11 @@
             handle,
             target: self.target(&attempt, address, runner),
         };
-        let (events, executor) = (self.events.clone(), self.executor.clone());
+        let (events, executor) = (self.attempt_sender.clone(), self.executor.clone());
         let task = tokio::spawn(async move {
             let last = executor.run(&run, &events).await;
-            send_event(
-                &events,
-                last.unwrap_or_else(|failure| FlowEvent::RunFailed(attempt, failure)),
-            );
+            let last = last.unwrap_or_else(|failure| FlowEvent::RunFailed(attempt, failure));
+            send_event(&events, last).await;
         });
         self.task = Some(task.abort_handle());
     }
@@ -473,8 +489,8 @@
     }
 }
 
-fn send_event(events: &UnboundedSender<FlowEvent>, event: FlowEvent) {
-    if events.send(event).is_err() {
+async fn send_event(events: &Sender<FlowEvent>, event: FlowEvent) {
+    if events.send(event).await.is_err() {
         log::debug!("entry: dropped an upstream's last event, since its request has ended");
     }
 }
--- a/src/transport/runs.rs
+++ b/src/transport/runs.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::Sender;
 
 /// The number of cancel calls that an entry makes before it leaves the cancel to the shard's owner.
 const CANCEL_TRIES: usize = 2;
@@ -72,11 +72,13 @@
         target: &'a AttemptTarget,
     ) -> BoxFuture<'a, Result<KvHandle, UpstreamFailure>>;
 
-    /// Produces the response. Tokens are sent to `events`; the returned event is the last one.
+    /// Produces the response. Tokens are sent to `events`, which has room for a limited number, so
+    /// that an upstream is read no faster than its request takes them; the returned event is the last
+    /// one.
     fn run<'a>(
         &'a self,
         run: &'a RunRequest,
-        events: &'a UnboundedSender<FlowEvent>,
+        events: &'a Sender<FlowEvent>,
     ) -> BoxFuture<'a, Result<FlowEvent, UpstreamFailure>>;
 
     /// Cancels an attempt at these upstreams; returns whether all have confirmed that nothing of it
@@ -119,7 +121,7 @@
     fn run<'a>(
         &'a self,
         run: &'a RunRequest,
-        _events: &'a UnboundedSender<FlowEvent>,
+        _events: &'a Sender<FlowEvent>,
     ) -> BoxFuture<'a, Result<FlowEvent, UpstreamFailure>> {
         Box::pin(async move {
             let target = &run.target;
@@ -153,7 +155,7 @@
     async fn decode(
         &self,
         run: &RunRequest,
-        events: &UnboundedSender<FlowEvent>,
+        events: &Sender<FlowEvent>,
     ) -> Result<FlowEvent, UpstreamFailure> {
         let target = &run.target;
         let handle = run.handle.as_ref();
@@ -174,7 +176,7 @@
             match event {
                 Ok(EngineEvent::Token { request_id, index, text }) => {
                     let token = FlowEvent::Token { attempt, index, request_id, text };
-                    if events.send(token).is_err() {
+                    if events.send(token).await.is_err() {
                         break;
                     }
                 }
@@ -207,7 +209,7 @@
     fn run<'a>(
         &'a self,
         run: &'a RunRequest,
-        events: &'a UnboundedSender<FlowEvent>,
+        events: &'a Sender<FlowEvent>,
     ) -> BoxFuture<'a, Result<FlowEvent, UpstreamFailure>> {
         Box::pin(self.decode(run, events))
     }
