--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -78,6 +78,9 @@
     /// The store has discarded the history since the last watch, or has returned from an older
     /// copy, so everything must be read again.
     HistoryLost,
+    /// The changes since the last watch take more bytes than the complete directory, which is read
+    /// instead: a host behind a slow link would fall back further while it reads them.
+    HistoryTooLarge,
 }
 
 /// The result of registering a host.
@@ -178,9 +181,13 @@
                 seen = next;
                 Ok(changes)
             }
-            Ok(DirectoryUpdate::HistoryLost) => {
+            Ok(update @ (DirectoryUpdate::HistoryLost | DirectoryUpdate::HistoryTooLarge)) => {
+                let reason = match update {
+                    DirectoryUpdate::HistoryLost => "gone",
+                    _ => "too large",
+                };
                 log::info!(
-                    "store: the history since the last watch is gone; reading the complete directory"
+                    "store: the history since the last watch is {reason}; reading the complete directory"
                 );
                 gateway.source.load().await.map(|snapshot| {
                     let has_returned = snapshot.seen.era != seen.era;
