Report: a stream is taken up only by a list of upstreams that is newer than it

Cause: VersionHistory named the only version that the host had seen, whenever it had read the list. A watch hangs for up to 1.7 s before it counts as failed, and the steady clock of a suspended machine stands still.

Ruled out: an origin that is known and not used, and a guess after a failed call.

Change: the host reads the store with a call that is sent after the request came, and refuses if another version shows or the store does not answer in 1.5 s. Hosts answer such questions of others only from a list of at most 3 s. A complete read after a lost history starts the knowledge of versions anew. No message between hosts changes.

--- a/src/coordination/software_versions.rs
+++ b/src/coordination/software_versions.rs
@@ -11,6 +11,8 @@
     complete_since: Option<Instant>,
     /// Whether no stream can be older than this daemon, as the whole deployment has just started.
     first_start: bool,
+    /// When the call was sent that last brought the records of upstreams.
+    read_at: Option<BootTime>,
     /// The versions, each with the time at which its last upstream had gone.
     versions: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Option<Instant>>>,
 }
@@ -48,6 +50,34 @@
         }
     }
 
+    /// Records that a call sent at `sent` has brought all records of upstreams up to then.
+    pub fn record_read(&mut self, sent: BootTime) {
+        self.read_at = self.read_at.max(Some(sent));
+    }
+
+    /// Returns whether the records of upstreams can be read.
+    pub fn is_readable(&self) -> bool {
+        self.complete_since.is_some()
+    }
+
+    /// Returns whether the records of upstreams are known as they were at `time` or later.
+    pub fn is_read_since(&self, time: BootTime) -> bool {
+        self.is_readable() && self.read_at.is_some_and(|read_at| read_at >= time)
+    }
+
+    /// Returns whether this daemon has seen no other version of the service in the last `window`.
+    pub fn has_seen_only(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        window: Duration,
+        version: &SoftwareVersion,
+    ) -> bool {
+        let versions = self.versions.get(service).into_iter().flatten();
+        let mut recent = versions.filter(|(_, gone_at)| is_recent(now, **gone_at, window));
+        recent.all(|(seen, _)| seen == version)
+    }
+
     /// Returns how long it takes until [`VersionHistory::sole_version`] can name a version, if none comes
     /// or goes meanwhile; `window` while several serve, as none of them need leave.
     pub fn time_to_sole_version(
@@ -81,9 +111,13 @@
             return None;
         }
         let versions = self.versions.get(service)?.iter();
-        let mut recent =
-            versions.filter(|(_, gone_at)| gone_at.is_none_or(|gone_at| now < gone_at + window));
+        let mut recent = versions.filter(|(_, gone_at)| is_recent(now, **gone_at, window));
         let (sole, _) = recent.next()?;
         recent.next().is_none().then(|| sole.clone())
     }
 }
+
+/// Returns whether a version serves, or has served in the last `window`.
+fn is_recent(now: Instant, gone_at: Option<Instant>, window: Duration) -> bool {
+    gone_at.is_none_or(|gone_at| now < gone_at + window)
+}
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -24,6 +24,11 @@
 /// Upstreams write several times a second, and the platform counts every call. What is left of the
 /// limit allows for a slow response and a retry.
 const WATCH_PERIOD_FRACTION: f64 = 0.45;
+/// How long a request waits for the store to be read again. The caller of a stream waits for its next
+/// event meanwhile.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The shortest time between two calls that requests ask for.
+const READ_PERIOD: Duration = Duration::from_millis(100);
 /// The backoff after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest backoff; routes must be in force within two seconds after the store has recovered.
@@ -162,14 +167,23 @@
     let mut backoff = CallBackoff::default();
     let mut store_lost = false;
     let mut returned_at = None;
+    let mut read_now = false;
     loop {
         let started = gateway.node.clock.now();
         let asked_at = gateway.node.clock.boot();
         // After a failure only the changes that are already there are read, which returns at once.
         let stale_after = lock(&gateway.node.freshness).limit();
         let longest = stale_after.map_or(WATCH_WAIT, |limit| (limit / 3).min(WATCH_WAIT));
-        let wait = if store_lost { Duration::ZERO } else { longest };
-        let update = gateway.source.watch(seen, wait).await;
+        let wait = if store_lost || read_now { Duration::ZERO } else { longest };
+        read_now = false;
+        let update = tokio::select! {
+            biased;
+            update = gateway.source.watch(seen, wait) => update,
+            () = gateway.read_due.notified(), if !wait.is_zero() => {
+                read_now = true;
+                continue;
+            }
+        };
         if update.is_ok() && store_lost {
             store_lost = false;
             log::info!("store: reachable again");
@@ -190,6 +204,9 @@
                     "store: the history since the last watch is {reason}; reading the complete directory"
                 );
                 gateway.source.load().await.map(|snapshot| {
+                    // Versions may have come and gone between the last watch and this read.
+                    let now = gateway.node.clock.now();
+                    lock(&gateway.node.versions).set_readable(now, false);
                     let has_returned = snapshot.seen.era != seen.era;
                     seen = snapshot.seen;
                     if has_returned {
@@ -208,7 +225,12 @@
                 backoff.reset();
                 gateway.apply_changes(changes);
                 let now = gateway.node.clock.now();
-                lock(&gateway.node.versions).set_readable(now, true);
+                {
+                    let mut versions = lock(&gateway.node.versions);
+                    versions.set_readable(now, true);
+                    versions.record_read(asked_at);
+                }
+                gateway.directory_read.notify_waiters();
                 gateway.record_answer(asked_at, seen.era);
                 let period = gateway.propagation_limit.mul_f64(WATCH_PERIOD_FRACTION);
                 let period = stale_after.map_or(period, |limit| period.min(limit.mul_f64(0.4)));
@@ -216,8 +238,13 @@
                     Some(at) if now < at + RETURN_WATCH_TIME => period.min(RETURN_WATCH_PERIOD),
                     _ => period,
                 };
+                let read_due = async {
+                    tokio::time::sleep(READ_PERIOD.saturating_sub(now - started)).await;
+                    gateway.read_due.notified().await;
+                };
                 tokio::select! {
                     () = tokio::time::sleep(period.saturating_sub(now - started)) => {}
+                    () = read_due => read_now = true,
                     () = gateway.node.newer_era.notified() => gateway.hold_plans(),
                 }
             }
@@ -231,6 +258,7 @@
                 }
                 gateway.apply_registry_events([RegistryEvent::StoreLost]);
                 lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), false);
+                gateway.directory_read.notify_waiters();
                 tokio::select! {
                     () = backoff.wait() => {}
                     () = gateway.node.newer_era.notified() => gateway.hold_plans(),
@@ -241,6 +269,27 @@
 }
 
 impl Gateway {
+    /// Waits until the records of upstreams are known as they were at `time` or later; returns false if
+    /// the store does not answer in time.
+    pub async fn read_directory_since(&self, time: BootTime) -> bool {
+        let read = async {
+            loop {
+                let mut done = std::pin::pin!(self.directory_read.notified());
+                done.as_mut().enable();
+                let (is_read, is_readable) = {
+                    let versions = lock(&self.node.versions);
+                    (versions.is_read_since(time), versions.is_readable())
+                };
+                if is_read || !is_readable {
+                    return is_read;
+                }
+                self.read_due.notify_one();
+                done.await;
+            }
+        };
+        tokio::time::timeout(READ_TIMEOUT, read).await.unwrap_or(false)
+    }
+
     /// Applies the complete content of the directory.
     pub fn apply_snapshot(self: &Arc<Self>, snapshot: DirectorySnapshot) {
         self.record_era(snapshot.seen.era);
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -30,6 +30,8 @@
 /// The shortest time for which it is kept which software version began a stream. The operator may
 /// shorten a route's timeout while streams run.
 const MIN_ORIGIN_LIFETIME: Duration = Duration::from_secs(30);
+/// The shortest time after which the caller of a stream of unknown origin is asked to come back.
+const MIN_ORIGIN_WAIT: Duration = Duration::from_secs(1);
 /// The part of its latency target for which a request waits for tokens of its account's allotment.
 const TOKEN_PATIENCE: f64 = 0.5;
 /// After how many latency targets a retryable call is tried at another upstream; slow responses
@@ -180,9 +182,20 @@
     async fn find_origin(&self, service: &ServiceName) -> Option<(ServiceName, SoftwareVersion)> {
         let window = origin_lifetime(&self.rule);
         let first = self.inbound.head.resumes.as_deref();
-        let reply = self.gateway.node.find_origin(first, service, window).await;
-        let known = reply.known.map(|origin| (origin.service, origin.software));
-        known.or_else(|| Some((service.clone(), reply.sole_version?)))
+        let node = &self.gateway.node;
+        let asked_at = node.clock.boot();
+        let reply = node.find_origin(first, service, window).await;
+        if let Some(origin) = reply.known {
+            return Some((origin.service, origin.software));
+        }
+        // The stream may have begun at an upstream that has joined since the list was read.
+        let version = reply.sole_version?;
+        if !self.gateway.read_directory_since(asked_at).await {
+            return None;
+        }
+        let (now, versions) = (node.clock.now(), lock(&node.versions));
+        let is_sole = versions.has_seen_only(now, service, window, &version);
+        is_sole.then(|| (service.clone(), version))
     }
 
     /// Refuses a stream of unknown origin. Before the time that is named, no host knows more.
@@ -192,6 +205,7 @@
         let versions = lock(&self.gateway.node.versions);
         let wait = versions.time_to_sole_version(now, service, window);
         drop(versions);
+        let wait = wait.max(MIN_ORIGIN_WAIT);
         let refusal = Refusal::not_run(RefusalReason::OriginUnknown).with_retry_after(wait);
         self.into_log(None).finish(ResponseOutcome::Refused(refusal));
         refusal_response(&refusal)
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -152,6 +152,10 @@
     pub(super) speeds_reported: AtomicBool,
     /// Whether more urgent requests go first, by the priorities of routes and accounts.
     pub(super) uses_urgency: bool,
+    /// Tells the requests that wait for it that the store was read or cannot be.
+    pub(super) directory_read: Notify,
+    /// Asks for the store to be read now.
+    pub(super) read_due: Notify,
     /// How many bytes of a stream are held for its caller.
     pub(super) stream_window: usize,
     /// Whether this host reaches upstreams.
@@ -379,6 +383,8 @@
         remote_cost: settings.remote_cost,
         leaving_cost: settings.leaving_cost,
         speeds_reported: AtomicBool::new(false),
+        directory_read: Notify::new(),
+        read_due: Notify::new(),
         stream_window: settings.stream_window,
         uses_urgency: settings.uses_urgency,
         node,
@@ -396,6 +402,7 @@
     gateway.apply_snapshot(snapshot);
     gateway.record_answer(asked_at, seen.era);
     lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), true);
+    lock(&gateway.node.versions).record_read(asked_at);
     if settings.first_start {
         lock(&gateway.node.versions).mark_first_start();
     } else {
--- a/src/transport/stream_origins.rs
+++ b/src/transport/stream_origins.rs
@@ -12,6 +12,9 @@
 /// How long other daemons are waited for. A caller that takes a stream up has been waiting for its
 /// next event since before that.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// How old the list of upstreams may be for what a daemon says of versions. A watch of the list is renewed
+/// every two seconds or sooner.
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
 /// The questions to other daemons that are not answered yet.
 #[derive(Debug, Default)]
@@ -99,7 +102,10 @@
     ) -> OriginReply {
         let now = self.clock.now();
         let known = request.and_then(|request| lock(&self.origins).find(now, request).cloned());
-        let sole_version = lock(&self.versions).sole_version(now, service, window);
+        let oldest = BootTime(self.clock.boot().0.saturating_sub(MAX_LIST_AGE));
+        let versions = lock(&self.versions);
+        let sole_version = versions.sole_version(now, service, window);
+        let sole_version = sole_version.filter(|_| versions.is_read_since(oldest));
         OriginReply { known, sole_version }
     }
 
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -214,3 +214,34 @@
     assert_eq!(sole(&history, now + LIFETIME * 2), None, "versions may have come and gone");
     assert_eq!(sole(&history, now + LIFETIME * 3), Some(version("v1")));
 }
+
+/// Guards against a list of upstreams that is older than the stream that it is asked about.
+#[test]
+fn versions_are_known_since_the_call_that_brought_them() {
+    let now = Instant::now();
+    let at = |seconds| BootTime(Duration::from_secs(seconds));
+    let mut history = VersionHistory::default();
+    history.record_read(at(10));
+    assert!(!history.is_read_since(at(10)), "not readable yet");
+    history.set_readable(now, true);
+    assert!(history.is_read_since(at(10)) && !history.is_read_since(at(11)));
+    history.record_read(at(9));
+    assert!(history.is_read_since(at(10)), "calls may end in another order");
+    history.set_readable(now, false);
+    assert!(!history.is_read_since(at(10)));
+}
+
+#[test]
+fn version_that_went_counts_until_its_streams_have_ended() {
+    let now = Instant::now();
+    let mut history = VersionHistory::default();
+    let only = |history: &VersionHistory, at| {
+        history.has_seen_only(at, &service(), LIFETIME, &version("v1"))
+    };
+    assert!(only(&history, now), "nothing is known against it");
+    history.observe(now, &service(), [version("v1"), version("v2")].iter());
+    assert!(!only(&history, now));
+    history.observe(now, &service(), [version("v1")].iter());
+    assert!(!only(&history, now + LIFETIME - SECOND));
+    assert!(only(&history, now + LIFETIME));
+}
