--- a/src/coordination/shard/pool.rs
+++ b/src/coordination/shard/pool.rs
@@ -339,9 +339,11 @@
         let mut slots = UsableSlots::default();
         for worker in self.workers.values().filter(|worker| worker.is_usable(now)) {
             match worker.spec.role {
-                UpstreamRole::Prefill => slots.prefill += worker.spec.slots.0,
+                UpstreamRole::Prefill => {
+                    slots.prefill = slots.prefill.saturating_add(worker.spec.slots.0);
+                }
                 UpstreamRole::Decode | UpstreamRole::Plain => {
-                    slots.run += worker.spec.slots.0;
+                    slots.run = slots.run.saturating_add(worker.spec.slots.0);
                     let kv_blocks = worker.spec.kv_blocks.map(|kv_blocks| u64::from(kv_blocks.0));
                     slots.kv_blocks =
                         kv_blocks.map(|kv_blocks| slots.kv_blocks.unwrap_or(0) + kv_blocks);
--- a/src/coordination/shard/pool/picture.rs
+++ b/src/coordination/shard/pool/picture.rs
@@ -76,7 +76,7 @@
     fn queue(&self) -> f64 {
         let slots = self.report.slots.0.max(1);
         let all = self.report.running.saturating_add(self.report.waiting);
-        f64::from(all.min(slots * MAX_QUEUE_SLOTS)) / f64::from(slots)
+        f64::from(all.min(slots.saturating_mul(MAX_QUEUE_SLOTS))) / f64::from(slots)
     }
 
     fn weight(&self, now: Instant) -> f64 {
