Report: a response that does not name its request says nothing of it

What callers saw: 503 with Retry-After for a non-idempotent call that its worker had run, when the worker wrote an earlier refusal, without an id, once more on a kept connection.

Cause: a response was foreign only if it named another request; one without an id counted as the answer. Ruled out: repeated refusals that bear their id (they were foreign before) and a second attempt at the same worker.

Change: a response must name its request, with one id, whatever its status.

--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -90,7 +90,7 @@
 pub enum ResponseKind {
     /// It is the response to this request.
     Matching,
-    /// It carries the request id of another request.
+    /// It does not name this request, so that it says nothing of it.
     Foreign,
     /// The upstream has no free slot; it has not run the request and will not.
     Full,
