--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -297,7 +297,7 @@
                 UpstreamFailure::Broken
             };
             while let Some(event) = decoder.next_event().map_err(broken)? {
-                last = event.id.unwrap_or(last + 1);
+                last = event.id;
                 let Some(index) = last.checked_sub(1) else { return Err(UpstreamFailure::Broken) };
                 if last <= relayed {
                     // It would take a place in the window that no caller frees.
