--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -90,7 +90,7 @@
 pub enum ResponseKind {
     /// It is the response to this request.
     Matching,
-    /// It does not name this request, so that it says nothing of it.
+    /// It lacks what every response to this request bears, so that it says nothing of it.
     Foreign,
     /// The upstream has no free slot; it has not run the request and will not.
     Full,
@@ -145,8 +145,14 @@
     /// Adds the headers for the upstream to the caller's.
     fn write_request(&self, head: &OutboundHead<'_>, headers: &mut HeaderMap);
 
-    /// Reads the headers of the response to the request with the id `request_id`.
-    fn read_response(&self, request_id: &str, head: &ResponseParts) -> ResponseHead;
+    /// Reads the headers of the response to the request with the id `request_id`, which has asked for
+    /// `step`.
+    fn read_response(
+        &self,
+        request_id: &str,
+        step: UpstreamStep<'_>,
+        head: &ResponseParts,
+    ) -> ResponseHead;
 
     /// Reads the handle of a prefill result from the body of the prefill worker's response.
     fn read_handle(&self, body: &[u8]) -> Option<String>;
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -174,7 +174,7 @@
         let key = (target.address, target.upstream.clone());
         let exchange = self.gateway.connections.send(&key, limit, request).await?;
         let (parts, body) = exchange.response.into_parts();
-        let head = dialect.read_response(&self.request.head.request_id, &parts);
+        let head = dialect.read_response(&self.request.head.request_id, step, &parts);
         self.gateway.record_notices(now, &target.upstream, incarnation, &head);
         let response = http::Response::from_parts(parts, body);
         Ok((UpstreamExchange { connection: exchange.connection, response }, head))
