--- a/src/coordination/freshness.rs
+++ b/src/coordination/freshness.rs
@@ -44,7 +44,9 @@
     limit: Option<Duration>,
     /// The probes that other hosts have not acknowledged, and when each was sent.
     probes: VecDeque<(u64, BootTime)>,
-    /// When the store was first seen in its present era, unless it was the first era seen.
+    /// Whether the deployment ran before this host started.
+    restarted: bool,
+    /// When the store was first seen in its present era, unless it cannot have returned shortly before.
     returned_at: Option<BootTime>,
 }
 
@@ -54,6 +56,12 @@
         self.limit = limit;
     }
 
+    /// Records that the deployment ran before this host started: a store that has ever returned from an
+    /// older copy may have done so just now.
+    pub fn mark_restart(&mut self) {
+        self.restarted = true;
+    }
+
     /// Returns the age from which the configuration is too old; `None` if it never is.
     pub fn limit(&self) -> Option<Duration> {
         self.limit
@@ -72,7 +80,8 @@
         }
         let in_force = self.in_force;
         if Some(era) > self.era {
-            self.returned_at = self.era.map(|_| sent);
+            let may_have_returned = self.restarted && era > StoreEra::default();
+            self.returned_at = (self.era.is_some() || may_have_returned).then_some(sent);
             self.era = Some(era);
         }
         let settled = self.returned_at.is_none_or(|at| sent.since(at) >= RETURN_TIME);
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -360,6 +360,9 @@
     let node = Arc::new(build_node(node_settings(&settings, peer_key, seeds), parts).await?);
     let stale_after = settings.accounts.revocation_limit.map(|limit| limit.mul_f64(STALE_FRACTION));
     lock(&node.freshness).set_limit(stale_after);
+    if !settings.first_start {
+        lock(&node.freshness).mark_restart();
+    }
     // Before other daemons are heard, as only an era later than this one means a return.
     node.handle_member_event(MemberEvent::Era(snapshot.seen.era));
     tokio::spawn(serve_links(node.clone(), peers));
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -113,3 +113,35 @@
     monitor.record_answer(at(5_000), StoreEra(5));
     assert!(monitor.is_fresh(at(5_000), Revision(7)));
 }
+
+/// Guards against a host that starts when the store has just returned from an older copy: it accepted
+/// keys that its neighbours knew to be withdrawn.
+#[test]
+fn store_that_has_returned_is_no_evidence_for_a_host_that_starts() {
+    let start = |era| {
+        let mut monitor = FreshnessMonitor::default();
+        monitor.set_limit(Some(LIMIT));
+        monitor.mark_restart();
+        monitor.set_in_force(Revision(7));
+        monitor.record_answer(at(1_000), era);
+        monitor
+    };
+    assert!(start(StoreEra(0)).is_fresh(at(1_001), Revision(7)), "it has never returned");
+    let mut alone = start(ERA);
+    alone.record_answer(at(2_999), ERA);
+    assert!(!alone.is_fresh(at(3_000), Revision(7)));
+    alone.record_answer(at(3_000), ERA);
+    assert!(alone.is_fresh(at(3_001), Revision(7)), "the operator has written again");
+    let mut vouched_for = start(ERA);
+    vouched_for.record_probe(at(1_100), 1);
+    vouched_for.record_acknowledgement(1, record(7, 500));
+    assert!(vouched_for.is_fresh(at(1_200), Revision(7)), "a neighbour knows no later one");
+    let mut behind = start(ERA);
+    behind.record_probe(at(1_100), 1);
+    behind.record_acknowledgement(1, record(9, 500));
+    behind.record_answer(at(4_000), ERA);
+    assert!(!behind.is_fresh(at(4_001), Revision(7)), "a neighbour knows a later one");
+    behind.set_in_force(Revision(9));
+    behind.record_answer(at(4_100), ERA);
+    assert!(behind.is_fresh(at(4_101), Revision(9)));
+}
