Free a prefill result within a second or leave it to expire

What callers saw: refusals for want of room while a decode worker was idle.

Cause: the claim of an attempt that was given up is released only after the prefill worker has answered the call that frees its result, and the call had no timeout. A worker that is silent there held the slot and the memory of the decode worker for as long as its connection lived. Found by the review, by reading.

Change: the call has a timeout of one second; the result expires by itself.

Evidence: silent_prefill_worker_holds_no_room_in_decode_workers, with one slot: the next request is refused with 429 on and served now.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -32,6 +32,9 @@
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
 /// For how long a stream must have been left unread for its upstream to be excused when it breaks off.
 const UNREAD_TIME: Duration = Duration::from_secs(1);
+/// How long a prefill worker may take to free a result. The claim of the attempt, and with it room in its
+/// decode worker, is held until then.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit on response bodies that never reach the caller, in bytes: prefill results and refusals.
 const MAX_SHORT_RESPONSE_BYTES: usize = 64 * 1024;
 
@@ -256,8 +259,16 @@
         }
         let limit = self.gateway.connection_limit(&result.upstream);
         let key = (result.address, result.upstream);
-        if let Err(failure) = self.gateway.connections.send(&key, limit, request).await {
-            log::debug!("entry: the prefill result at {} was left to expire: {failure:?}", key.1);
+        let freed = self.gateway.connections.send(&key, limit, request);
+        match tokio::time::timeout(FREE_TIMEOUT, freed).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(failure)) => {
+                log::debug!(
+                    "entry: the prefill result at {} is left to expire: {failure:?}",
+                    key.1
+                );
+            }
+            Err(_) => log::debug!("entry: {} frees no prefill result, which expires", key.1),
         }
     }
 
