Drain the samples of histograms when nobody reads the metrics

What operators saw: nothing yet; a host that nobody scrapes grows by some 30 bytes a stream without end (the review, by reading).

Cause: the recorder keeps every sample until the metrics are rendered or its upkeep is called, and nobody called it.

Change: both daemons call it every 5 s.

--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -8,6 +8,7 @@
 use crate::transport::consul::ConsulStore;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::{CliError, CliResult};
+use crate::transport::gateway::probes::{DRAIN_PERIOD, drain_samples};
 use crate::transport::http;
 use crate::transport::http::trace::SpanLogger;
 use crate::transport::links::serve_links;
@@ -52,6 +53,7 @@
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder).map_err(|e| CliError::Server(e.to_string()))?;
+    tokio::spawn(drain_samples(handle.clone(), DRAIN_PERIOD));
     let listener = TcpListener::bind(settings.peer).await?;
     let upstreams = Arc::new(UpstreamClient::new()?);
     let parts = NodeDependencies {
--- a/src/transport/gateway/probes.rs
+++ b/src/transport/gateway/probes.rs
@@ -16,6 +16,8 @@
 /// The bucket bounds of latency histograms in seconds, close to the targets of plain calls and
 /// streams.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.6, 0.9, 2.0, 5.0, 14.0];
+/// The interval at which the samples of histograms are added to their buckets.
+pub const DRAIN_PERIOD: Duration = Duration::from_secs(5);
 /// The delay after an accept that failed.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -35,6 +37,15 @@
     Ok(handle)
 }
 
+/// Adds the samples of histograms to their buckets once in `period`, until the task is dropped. The recorder
+/// keeps every sample until then, and nobody may ever read the metrics.
+pub async fn drain_samples(handle: PrometheusHandle, period: Duration) {
+    loop {
+        tokio::time::sleep(period).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Serves every request on a listener with the current status and body that `reply` returns.
 pub async fn serve_probes<F>(listener: TcpListener, reply: F)
 where
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -20,7 +20,9 @@
 use crate::transport::gateway::directory::{DirectorySource, retry_until_ok, watch_directory};
 use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
 use crate::transport::gateway::paths::{PathWatch, probe_paths};
-use crate::transport::gateway::probes::{install_recorder, serve_probes};
+use crate::transport::gateway::probes::{
+    DRAIN_PERIOD, drain_samples, install_recorder, serve_probes,
+};
 use crate::transport::gateway::registration::renew_registration;
 use crate::transport::gateway::relay::RelayBoard;
 use crate::transport::gateway::roles::{RoleClient, plan_roles};
@@ -249,6 +251,7 @@
     let peers = TcpListener::bind(settings.peer).await?;
     let metrics = TcpListener::bind(settings.metrics).await?;
     let handle = install_recorder()?;
+    tokio::spawn(drain_samples(handle.clone(), DRAIN_PERIOD));
     log::info!(
         host:% = settings.host, domain:% = settings.domain, frontend:% = settings.frontend,
         version = env!("CARGO_PKG_VERSION");
