Log and count how the runs of streams end

A line names the status of an answer that is no stream and the event after which the run was to go on; a counter tells runs that end with their last chunk from those that end with their connection or with another answer. No change of logic.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -14,6 +14,7 @@
 use crate::transport::gateway::start::Gateway;
 use crate::transport::gateway::stream::EventDecoder;
 use crate::transport::gateway::window::StreamWindow;
+use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
 use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
 use bytes::Bytes;
@@ -226,6 +227,9 @@
         if self.kind.is_stream() && status == StatusCode::OK {
             return self.relay(run, exchange, &head, events).await;
         }
+        if self.kind.is_stream() {
+            self.log_other_answer(run, status);
+        }
         *lock(&self.response) =
             Some(self.read_buffered(exchange, &head, MAX_BUFFERED_BYTES).await?);
         if status.is_server_error() && self.kind.is_retryable() {
@@ -238,6 +242,17 @@
         })
     }
 
+    fn log_other_answer(&self, run: &RunRequest, status: StatusCode) {
+        counter!("apricotrun_stream_ends_total", "end" => "other-answer").increment(1);
+        if self.gateway.node.log_limiter.permits(DecisionKind::Lost) {
+            log::info!(
+                request = self.request.head.request_id.as_str(), upstream:% = run.target.upstream,
+                status = status.as_u16(), after = run.first_token;
+                "entry: an upstream answered without a stream"
+            );
+        }
+    }
+
     /// Frees a prefill result that will not be fetched, before its worker evicts it.
     async fn free_prefill_result(&self) {
         let Some(result) = lock(&self.prefill_result).take() else { return };
@@ -332,6 +347,8 @@
             return Err(self.broken_stream());
         }
         self.end_response(framed, connection, head).await?;
+        let end = if framed { "framed" } else { "connection" };
+        counter!("apricotrun_stream_ends_total", "end" => end).increment(1);
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
     }
 
