Pass on an answer that is no stream of events instead of emptying it

Whether an answer is a stream was decided by route and status alone; a body without events then ended a stream of no events. The media type decides now; an answer that names none is a stream as before. Ruled out: the body lost with its connection, as a 404 of the same worker keeps its body.

answer_that_is_no_stream_is_not_emptied failed before: left Some(""), right Some("no stream\n\n"), on both streaming routes. gateway: 24 passed.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -29,6 +29,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Timeout of the connection attempt that shows whether an upstream still listens.
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
 /// For how long a stream must have been left unread for its upstream to be excused when it breaks off.
@@ -224,7 +226,8 @@
         // The decode worker has fetched the result, and the prefill worker no longer holds it.
         lock(&self.prefill_result).take();
         let status = exchange.response.status();
-        if self.kind.is_stream() && status == StatusCode::OK {
+        let is_stream = status == StatusCode::OK && is_event_stream(exchange.response.headers());
+        if self.kind.is_stream() && is_stream {
             return self.relay(run, exchange, &head, events).await;
         }
         if self.kind.is_stream() {
@@ -470,6 +473,13 @@
         || exchange.response.body().is_end_stream()
 }
 
+/// Returns whether a response holds events. One that names no media type is what its route says.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let essence = media.and_then(|media| media.split(';').next());
+    essence.is_none_or(|essence| essence.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 fn failure_for(kind: ResponseKind) -> UpstreamFailure {
     match kind {
         ResponseKind::Full | ResponseKind::Declined => UpstreamFailure::Full,
