Do not end a stream that has begun with another upstream's answer

Cause: every answer that is neither 200 nor 5xx was a response received, upon which the flow finished, whatever the caller had been sent. Evidence: the log ends with 'entry: a stream goes on' and 'entry: answered'. Now the flow, which counts what it has forwarded, fails the attempt then, and the executor keeps the answer that the caller has the beginning of. 500 and 504 did not show it and still do not.

The decision by itself: flow::response_that_is_no_stream_does_not_end_a_stream_that_has_begun.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -239,6 +239,25 @@
         self.finish(ReleaseOutcome::Finished, out);
     }
 
+    /// Ends the request with a response that is no stream. It is no part of a stream that the caller
+    /// has the beginning of, and must not end it.
+    pub(super) fn handle_response(
+        &mut self,
+        now: Instant,
+        attempt: &AttemptId,
+        outcome: ReleaseOutcome,
+        out: &mut Vec<FlowAction>,
+    ) {
+        if !self.is_current(attempt) {
+            return;
+        }
+        if self.tokens() > 0 {
+            let failed = UpstreamFailure::Failed;
+            return self.fail_attempt(now, attempt, failed, ReleaseOutcome::RunnerLost, out);
+        }
+        self.finish(outcome, out);
+    }
+
     /// Aborts the current attempt after an upstream failed it, and retries the request if that is
     /// safe.
     pub(super) fn fail_attempt(
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -149,9 +149,10 @@
     },
     /// The end marker has arrived, with the number of token events in the complete output.
     RunEnded(AttemptId, u32),
-    /// A plain upstream has returned a response.
+    /// The upstream has returned a complete response that is no stream.
     ResponseReceived(AttemptId),
-    /// A plain upstream has returned an error response, which is forwarded to the caller.
+    /// The upstream has returned an error response, which is forwarded to a caller that has been sent
+    /// nothing yet.
     ErrorResponseReceived(AttemptId),
     /// The decode worker or plain upstream failed.
     RunFailed(AttemptId, UpstreamFailure),
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -180,14 +180,10 @@
                 self.handle_run_ended(now, &attempt, total, &mut out)
             }
             FlowEvent::ResponseReceived(attempt) => {
-                if self.is_current(&attempt) {
-                    self.finish(ReleaseOutcome::Finished, &mut out);
-                }
+                self.handle_response(now, &attempt, ReleaseOutcome::Finished, &mut out);
             }
             FlowEvent::ErrorResponseReceived(attempt) => {
-                if self.is_current(&attempt) {
-                    self.finish(ReleaseOutcome::RunnerFailed, &mut out);
-                }
+                self.handle_response(now, &attempt, ReleaseOutcome::RunnerFailed, &mut out);
             }
             FlowEvent::RunFailed(attempt, failure) => {
                 self.fail_attempt(now, &attempt, failure, ReleaseOutcome::RunnerLost, &mut out);
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -233,8 +233,10 @@
         if self.kind.is_stream() {
             self.log_other_answer(run, status);
         }
-        *lock(&self.response) =
-            Some(self.read_buffered(exchange, &head, MAX_BUFFERED_BYTES).await?);
+        let response = self.read_buffered(exchange, &head, MAX_BUFFERED_BYTES).await?;
+        if !self.has_begun(run) {
+            *lock(&self.response) = Some(response);
+        }
         if status.is_server_error() && self.kind.is_retryable() {
             return Err(UpstreamFailure::Failed);
         }
@@ -245,6 +247,11 @@
         })
     }
 
+    /// Returns whether the caller had been sent events of the stream when the run was started.
+    fn has_begun(&self, run: &RunRequest) -> bool {
+        run.first_token > self.request.head.resume_after
+    }
+
     fn log_other_answer(&self, run: &RunRequest, status: StatusCode) {
         counter!("apricotrun_stream_ends_total", "end" => "other-answer").increment(1);
         if self.gateway.node.log_limiter.permits(DecisionKind::Lost) {
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -56,6 +56,24 @@
     assert_eq!(admission_requests(&actions).len(), 1);
 }
 
+/// Guards against a stream that the error of another upstream ended as if it were complete.
+#[test]
+fn response_that_is_no_stream_does_not_end_a_stream_that_has_begun() {
+    for event in [FlowEvent::ResponseReceived, FlowEvent::ErrorResponseReceived] {
+        let mut harness = FlowHarness::new(|spec| spec.max_runs = 2);
+        harness.start_decoding();
+        harness.valid_token(1, 0);
+        let actions = harness.handle(event(attempt(1)));
+        assert!(!actions.contains(&FlowAction::Finish), "{actions:?}");
+        assert_eq!(admission_requests(&actions)[0].1, attempt(2));
+        harness.grant(2, "d1", ClaimPhase::Run);
+        let actions = harness.handle(event(attempt(2)));
+        let refusal = Refusal::not_run(RefusalReason::UpstreamFailed);
+        let refusal = refusal.with_verdict(Verdict::MayHaveRun);
+        assert!(actions.contains(&FlowAction::Refuse(refusal)), "{actions:?}");
+    }
+}
+
 #[test]
 fn second_grant_of_another_owner_is_released() {
     let mut harness = FlowHarness::new(|_| {});
