Send the head of the worker that wrote the first event

Callers got the head and Server-Seal of a worker that had closed after its head, before the events of another one (MIXED). Cause: the head was kept once it had been received, not once a part of it had been sent. It is now that of the attempt whose first event goes out. Ruled out: two attempts at the same time, as the second run begins after the first connection has ended.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -309,13 +309,8 @@
         let request_id = attempt.to_string();
         let framed = is_framed(&exchange);
         let (response, mut body, connection) = self.split_exchange(exchange);
-        {
-            // A stream that resumes at another upstream keeps the headers of the first. A recorded
-            // error response was not passed on and is replaced.
-            let mut current = lock(&self.response);
-            if current.as_ref().is_none_or(|current| current.status != StatusCode::OK) {
-                *current = Some(response);
-            }
+        if !self.has_begun(run) {
+            *lock(&self.response) = Some(response);
         }
         self.window.reset();
         let mut decoder = EventDecoder::default();
