Do not take text without an event for a stream

Callers of a streaming route got 200 with the worker's seal and no body, or a stream of 2 of 8 events that ended as complete, when a worker answered with text and no media type (MIXED, ORDER). Cause: blocks without data are left out, as a stream may hold them, and a run without events was then whole. A run of no events whose body has lines that no stream of events has now counts as broken off. A stream that only lacks its end still ends whole.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -348,7 +348,8 @@
                 }
             }
         }
-        if !decoder.is_empty() {
+        let wrote_none = relayed == run.first_token;
+        if !decoder.is_empty() || wrote_none && decoder.has_other_text() {
             return Err(self.broken_stream());
         }
         self.end_response(framed, connection, head).await?;
--- a/src/transport/gateway/stream.rs
+++ b/src/transport/gateway/stream.rs
@@ -11,6 +11,9 @@
 /// What a stream may begin with.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// The names of the fields that a stream of events has.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// One event as the upstream sent it, including the blank line at its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -54,6 +57,8 @@
     has_data: bool,
     /// Whether there is a line other than comments.
     has_fields: bool,
+    /// Whether there is a line whose name is not one of [`FIELD_NAMES`].
+    has_other_text: bool,
     id: Option<u32>,
     /// How the last line ends.
     line_end: Option<LineEnd>,
@@ -66,6 +71,7 @@
         let (name, value) = line.split_at(colon.unwrap_or(line.len()));
         self.has_fields |= !name.is_empty();
         self.has_data |= name == b"data";
+        self.has_other_text |= !name.is_empty() && !FIELD_NAMES.contains(&name);
         if name == b"id" {
             let value = std::str::from_utf8(value.get(1..).unwrap_or_default()).ok();
             self.id = value.and_then(|value| value.trim().parse().ok());
@@ -80,6 +86,8 @@
     buffer: BytesMut,
     /// Whether a byte order mark can no longer follow.
     has_begun: bool,
+    /// Whether text has been left out that is neither an event nor a comment nor a known field.
+    has_other_text: bool,
     lines: EventLines,
     /// Where the first incomplete line begins in the buffer.
     line_start: usize,
@@ -122,6 +130,7 @@
             }
             if !lines.has_data {
                 self.skipped += text.len();
+                self.has_other_text |= lines.has_other_text;
                 continue;
             }
             self.skipped = 0;
@@ -142,6 +151,12 @@
         !self.lines.has_fields && matches!(rest, b"" | b"\r")
     }
 
+    /// Returns whether text was left out that no stream of events has. A body of such text alone is no
+    /// stream.
+    pub fn has_other_text(&self) -> bool {
+        self.has_other_text
+    }
+
     /// Drops a byte order mark and the rest of the last event's end. Returns false if more bytes are
     /// needed to tell.
     fn skip_start(&mut self) -> bool {
