Treat a run whose event numbers do not increase as broken off

A worker that ignores Last-Event-Id and starts from 1 is still joined (stream_goes_on_at_a_worker_that_starts_from_the_first_event).

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -314,8 +314,7 @@
         }
         self.window.reset();
         let mut decoder = EventDecoder::default();
-        let mut last = run.first_token;
-        let mut relayed = last;
+        let mut previous = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| self.broken_stream())?;
             let Ok(data) = frame.into_data() else { continue };
@@ -328,14 +327,17 @@
                 UpstreamFailure::Broken
             };
             while let Some(event) = decoder.next_event().map_err(broken)? {
-                last = event.id;
-                let Some(index) = last.checked_sub(1) else { return Err(UpstreamFailure::Broken) };
-                if last <= relayed {
-                    // It would take a place in the window that no caller frees.
+                if event.id <= previous {
+                    return Err(UpstreamFailure::Broken);
+                }
+                previous = event.id;
+                if previous <= run.first_token {
+                    // The caller has it from an earlier run. It would take a place in the window that no
+                    // caller frees.
                     counter!("apricotrun_foreign_tokens_dropped_total").increment(1);
                     continue;
                 }
-                relayed = last;
+                let index = previous - 1;
                 let (attempt, request_id) = (attempt.clone(), request_id.clone());
                 // A full queue has events that the request has yet to handle, and one that has ended
                 // needs no word.
@@ -348,8 +350,9 @@
                 }
             }
         }
-        let wrote_none = relayed == run.first_token;
-        if !decoder.is_empty() || wrote_none && decoder.has_other_text() {
+        let last = if previous == 0 { run.first_token } else { previous };
+        let wrote_event = last > run.first_token;
+        if !decoder.is_empty() || !wrote_event && decoder.has_other_text() {
             return Err(self.broken_stream());
         }
         self.end_response(framed, connection, head).await?;
