Do not pass on a status that promises more than its worker says

Callers got a worker's own 408, 429 or 503 for a call that the worker had begun to run, and read it as 'has not run and never will' (REFUSED). Cause: an answer without Not-Executed was passed on unchanged, whatever its status means to a caller. It is now a failed attempt that may have run: tried elsewhere if the route allows it, else 502 without the seal. Ruled out: a refusal of our own, as the answers bore the seal.

--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -96,6 +96,8 @@
     Full,
     /// The upstream has not run the request and will not, for another reason.
     Declined,
+    /// Its status promises callers that the request has not run, which the upstream itself does not say.
+    Unclear,
 }
 
 /// The response headers that the gateway acts on.
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -489,7 +489,7 @@
 fn failure_for(kind: ResponseKind) -> UpstreamFailure {
     match kind {
         ResponseKind::Full | ResponseKind::Declined => UpstreamFailure::Full,
-        ResponseKind::Matching => UpstreamFailure::Failed,
+        ResponseKind::Matching | ResponseKind::Unclear => UpstreamFailure::Failed,
         ResponseKind::Foreign => UpstreamFailure::Broken,
     }
 }
