Treat a switch of protocols that nobody asked for as broken off

Cause: the HTTP client returns a 101 as the answer of an exchange, and it was passed on like a whole one.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -179,6 +179,10 @@
         let limit = self.gateway.connection_limit(&target.upstream);
         let key = (target.address, target.upstream.clone());
         let exchange = self.gateway.connections.send(&key, limit, request).await?;
+        if exchange.response.status().is_informational() {
+            // No request asks for another protocol.
+            return Err(UpstreamFailure::Broken);
+        }
         let (parts, body) = exchange.response.into_parts();
         let head = dialect.read_response(&self.request.head.request_id, step, &parts);
         self.gateway.record_notices(now, &target.upstream, incarnation, &head);
