Take only chunks for an end among the transfer codings

Callers got 200 with half of a body, framed as whole, of a worker that had crashed halfway through an answer with 'Transfer-Encoding: identity' (MIXED). Cause: any transfer coding, and any length beside one, counted as the body's own end, so that nobody asked whether the worker still listened. hyper reads such a body up to the end of its connection. Now only chunked, as the last coding, counts. Ruled out: a wrong answer to that question, as the same crash under a head without the coding gave 502 before too.

body_without_an_end_of_its_own_is_not_complete_after_a_crash failed before for this head (status 200, body 'the answer to ') and passes. The other tests of cut_heads now cut such answers too (3020 cuts on each path) and pass.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -484,13 +484,21 @@
     }
 }
 
-/// Returns whether the end of a response is part of it; otherwise it ends with its connection.
+/// Returns whether the end of a response is part of it; otherwise it ends with its connection. Of the
+/// transfer codings only `chunked` has an end, and a length beside any coding says nothing.
 fn is_framed(exchange: &UpstreamExchange) -> bool {
     let headers = exchange.response.headers();
-    let has_end = |name| headers.contains_key(name);
-    has_end(header::CONTENT_LENGTH)
-        || has_end(header::TRANSFER_ENCODING)
-        || exchange.response.body().is_end_stream()
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let has_end = match codings {
+        Some(codings) => codings.to_str().is_ok_and(ends_with_chunked),
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    };
+    has_end || exchange.response.body().is_end_stream()
+}
+
+fn ends_with_chunked(codings: &str) -> bool {
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Returns whether a response holds events. One that names no media type is what its route says.
