Do not take silence for the sign that an answer is complete

Cause: the question whether the worker still listens had 100 ms, and running out of time counted as a yes; that reading is right for the crashes of workers, where silence must not count as a death, and wrong for the end of an answer. Such an answer is now complete only if a connection is established within 1.5 s, so that a first packet that was lost is repeated once. Whether the worker has died is decided as for any broken answer, so no longer while the host is isolated. Ruled out: a wrong reply to the question, as a refused connection gave 502 before.

body_without_an_end_of_its_own_is_not_complete_if_its_worker_can_no_longer_be_reached failed before for all three forms and passes; the existing test of such answers passes unchanged, and its mechanism entry names the new line.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -33,6 +33,9 @@
 const EVENT_STREAM: &str = "text/event-stream";
 /// Timeout of the connection attempt that shows whether an upstream still listens.
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of the connection attempt that confirms a response that ended with its connection. The kernel
+/// repeats a lost first packet after 1 s.
+const LISTENING_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// For how long a stream must have been left unread for its upstream to be excused when it breaks off.
 const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// How long a prefill worker may take to free a result. The claim of the attempt, and with it room in its
@@ -434,10 +437,14 @@
             self.log_doubtful_end(connection.address(), "no byte of its body has come");
             return Err(UpstreamFailure::Broken);
         }
-        match diagnose(connection.address()).await {
-            UpstreamFailure::Died => Err(UpstreamFailure::Died),
-            _ => Ok(()),
+        let address = connection.address();
+        let listens = tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(address)).await;
+        if matches!(listens, Ok(Ok(_))) {
+            return Ok(());
         }
+        // Its process or its path may have ended before the response did.
+        self.log_doubtful_end(address, "its upstream cannot be reached");
+        Err(UpstreamFailure::Broken)
     }
 }
 
