Reset the connections of HTTP/1.0 callers whose streams are cut

A caller that speaks HTTP/1.0 read two of eight events and then an end in order, as after a whole stream: its worker had broken off (ORDER). The same when the host was killed. Cause: such a caller knows no chunks, its body ends with the connection, and the kernel closes a dropped connection in order. The socket is now set to be reset when it is closed from the first byte of such a body on, and set back before the close after its end, so that an end of the process is visible too. Ruled out: that the host does not notice, as the last chunk is missing over HTTP/1.1; and setting it only when the body fails, as the process may end first.

--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 use crate::state::routes::{CallerLimits, RouteRule, RouteTable};
 use crate::transport::gateway::bodies::BodyError;
+use crate::transport::gateway::ends::{CallerStream, EndMarker};
 use crate::transport::gateway::forward::InboundRequest;
 use crate::transport::gateway::heads::{HeadTimer, TimedStream};
 use crate::transport::gateway::relay::{RELAYED, is_ahead, refuse_relayed};
@@ -18,7 +19,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use metrics::{counter, gauge};
 use socket2::SockRef;
 use std::convert::Infallible;
@@ -70,13 +71,16 @@
     let mut stopping = state.stopping.subscribe();
     let limits = state.limits();
     let timer = HeadTimer::new(state.clock.clone());
+    let marker = EndMarker::default();
     let service = {
-        let (state, timer) = (state.clone(), timer.clone());
+        let (state, timer, marker) = (state.clone(), timer.clone(), marker.clone());
         service_fn(move |request| {
             timer.record_head();
-            let (state, timer) = (state.clone(), timer.clone());
+            let (state, timer, marker) = (state.clone(), timer.clone(), marker.clone());
             async move {
+                let version = request.version();
                 let response = serve(state, request).await;
+                marker.record_response(version, response.body());
                 timer.record_response_start();
                 Ok::<_, Infallible>(response)
             }
@@ -86,7 +90,7 @@
     // While the daemon stops, the load balancer may still open connections. Each serves one
     // request.
     let is_stopping = *stopping.borrow();
-    let stream = TimedStream::new(TokioIo::new(stream), timer.clone());
+    let stream = TimedStream::new(CallerStream::new(stream, marker), timer.clone());
     let connection =
         build_server(limits).keep_alive(!is_stopping).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod channels;
 pub mod dialect;
 pub mod directory;
+pub mod ends;
 pub mod forward;
 pub mod frontend;
 pub mod heads;
