--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -33,6 +33,9 @@
 const EVENT_STREAM: &str = "text/event-stream";
 /// Timeout of the connection attempt that shows whether an upstream still listens.
 const DIAGNOSIS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of the connection attempt that confirms a response that ended with its connection. The kernel
+/// repeats a lost first packet after 1 s.
+const LISTENING_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// For how long a stream must have been left unread for its upstream to be excused when it breaks off.
 const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// How long a prefill worker may take to free a result. The claim of the attempt, and with it room in its
@@ -267,6 +270,16 @@
         }
     }
 
+    fn log_doubtful_end(&self, upstream: SocketAddr, doubt: &str) {
+        counter!("apricotrun_doubtful_ends_total").increment(1);
+        if self.gateway.node.log_limiter.permits(DecisionKind::Lost) {
+            log::info!(
+                request = self.request.head.request_id.as_str(), upstream:%, doubt;
+                "entry: a response that ended with its connection is not taken for complete"
+            );
+        }
+    }
+
     /// Frees a prefill result that will not be fetched, before its worker evicts it.
     async fn free_prefill_result(&self) {
         let Some(result) = lock(&self.prefill_result).take() else { return };
@@ -359,7 +372,7 @@
         if !decoder.is_empty() || !wrote_event && decoder.has_other_text() {
             return Err(self.broken_stream());
         }
-        self.end_response(framed, connection, head).await?;
+        self.end_response(framed, wrote_event, connection, head).await?;
         let end = if framed { "framed" } else { "connection" };
         counter!("apricotrun_stream_ends_total", "end" => end).increment(1);
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
@@ -408,15 +421,18 @@
             }
             UpstreamFailure::Broken
         })?;
-        self.end_response(framed, connection, head).await?;
+        let has_body = !body.is_empty() || !response.status.is_success();
+        self.end_response(framed, has_body, connection, head).await?;
         Ok(UpstreamResponse { body, reservation, ..response })
     }
 
     /// Ends the use of a connection after a complete response. The end of the connection alone does
-    /// not show that a response without a length is complete: a crash ends it too.
+    /// not show that a response without a length is complete: a crash ends it too. A success of which
+    /// only the head has come is therefore taken for broken off.
     async fn end_response(
         &self,
         framed: bool,
+        has_body: bool,
         connection: PooledConnection,
         head: &ResponseHead,
     ) -> Result<(), UpstreamFailure> {
@@ -424,10 +440,18 @@
             self.gateway.connections.release(connection, head.keep_alive);
             return Ok(());
         }
-        match diagnose(connection.address()).await {
-            UpstreamFailure::Died => Err(UpstreamFailure::Died),
-            _ => Ok(()),
+        if !has_body {
+            self.log_doubtful_end(connection.address(), "no byte of its body has come");
+            return Err(UpstreamFailure::Broken);
+        }
+        let address = connection.address();
+        let listens = tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(address)).await;
+        if matches!(listens, Ok(Ok(_))) {
+            return Ok(());
         }
+        // Its process or its path may have ended before the response did.
+        self.log_doubtful_end(address, "its upstream cannot be reached");
+        Err(UpstreamFailure::Broken)
     }
 }
 
@@ -474,13 +498,21 @@
     }
 }
 
-/// Returns whether the end of a response is part of it; otherwise it ends with its connection.
+/// Returns whether the end of a response is part of it; otherwise it ends with its connection. Of the
+/// transfer codings only `chunked` has an end, and a length beside any coding says nothing.
 fn is_framed(exchange: &UpstreamExchange) -> bool {
     let headers = exchange.response.headers();
-    let has_end = |name| headers.contains_key(name);
-    has_end(header::CONTENT_LENGTH)
-        || has_end(header::TRANSFER_ENCODING)
-        || exchange.response.body().is_end_stream()
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let has_end = match codings {
+        Some(codings) => codings.to_str().is_ok_and(ends_with_chunked),
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    };
+    has_end || exchange.response.body().is_end_stream()
+}
+
+fn ends_with_chunked(codings: &str) -> bool {
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Returns whether a response holds events. One that names no media type is what its route says.
