Ask a worker which process it is before a stream goes on there

What callers saw: one stream with events of two software versions. A worker had come back under its id and address as another version, and the host still had its earlier record: its watch had not delivered yet, its store did not answer, or it had been stopped.

Cause: the version was a property of the id. It belongs to one process of the worker, and the record of an earlier process says nothing of the one that listens at its address now.

Change: before a run goes on after an event, the entry host asks the upstream which incarnation it is (`GatewayDialect::read_report`), on the connection that the run then takes, so that both reach one process. The run is sent only if that is the incarnation of the record, with the version of the stream; if not, the list is read once more. No answer in 1 s: not sent. The host also asks the upstream that wrote the first event; if another incarnation was there already when the response began, the stream does not go on at all. Nothing is asked for a stream that is not interrupted, and nothing of workers whose records name no incarnation. Messages between hosts and records are as before.

Ruled out: asking only the list (it is what is out of date); asking for each stream or connection (a report costs as a probe).

Not mended here: a caller that takes up a stream whose origin was recorded from an old record.

--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -117,7 +117,8 @@
     Failed,
     /// The upstream's process has ended.
     Died,
-    /// Nothing was sent, as the upstream has said that it takes no requests from this daemon.
+    /// Nothing was sent, as the upstream has said that it takes no requests from this daemon, or as it may
+    /// not run the software version of a stream that is to go on.
     Withheld,
     /// The upstream ended the response after this daemon had not read it, as the caller did not.
     Unread,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,3 +24,4 @@
 pub mod store;
 pub mod stream_origins;
 pub mod tickets;
+pub mod upstream_lifetimes;
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -10,6 +10,7 @@
 
 use crate::coordination::notices::{NoticeBoard, UpstreamNotice};
 use crate::coordination::roles::{ObservedPlan, PlanDecision, PlanRecord};
+use crate::coordination::upstream_lifetimes::RecordedLifetime;
 use crate::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -277,6 +278,13 @@
         self.entries.get(name).map(|entry| entry.record.incarnation)
     }
 
+    /// Returns the incarnation of an upstream and its software version.
+    pub fn lifetime_of(&self, name: &UpstreamName) -> Option<RecordedLifetime> {
+        let record = &self.entries.get(name)?.record;
+        let software = record.software.clone();
+        Some(RecordedLifetime { incarnation: record.incarnation, software })
+    }
+
     /// Returns the failure domain and the role of an upstream.
     pub fn location_of(&self, name: &UpstreamName) -> Option<(DomainName, UpstreamRole)> {
         self.entries.get(name).map(|entry| (entry.record.domain.clone(), entry.record.role))
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -151,6 +151,13 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Returns whether this is the incarnation of something that names none.
+    pub fn is_zero(self) -> bool {
+        self.0 == 0
+    }
+}
+
 impl fmt::Display for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -1,6 +1,7 @@
 //! The interface between the gateway and a deployment's HTTP headers.
 
 use crate::coordination::shard::LoadReport;
+use crate::coordination::upstream_lifetimes::LifetimeReport;
 use crate::prelude::*;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
@@ -157,6 +158,15 @@
     /// Reads the handle of a prefill result from the body of the prefill worker's response.
     fn read_handle(&self, body: &[u8]) -> Option<String>;
 
+    /// Reads how long the upstream keeps the connection open while it is idle, if it says so.
+    fn read_keep_alive(&self, headers: &HeaderMap) -> Option<Duration>;
+
+    /// Returns the path under which a GET request makes an upstream report its incarnation.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads the response to such a request; returns `None` if it is not the response to one.
+    fn read_report(&self, head: &ResponseParts, body: &[u8]) -> Option<LifetimeReport>;
+
     /// Returns the path under which a DELETE request frees a prefill result.
     fn handle_path(&self, handle: &str) -> String;
 }
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -9,6 +9,7 @@
 use crate::transport::gateway::dialect::{
     InboundHead, OutboundHead, ResponseHead, ResponseKind, UpstreamStep,
 };
+use crate::transport::gateway::lifetimes::FirstWriter;
 use crate::transport::gateway::relay::RelayOutcome;
 use crate::transport::gateway::reply::drop_connection_headers;
 use crate::transport::gateway::start::Gateway;
@@ -87,6 +88,8 @@
 
 /// Runs the attempts of one forwarded request.
 pub struct ForwardExecutor {
+    /// The upstream at which this daemon began the stream, if it did.
+    first_writer: Mutex<Option<FirstWriter>>,
     gateway: Arc<Gateway>,
     /// The prefill result that no decode worker has fetched yet.
     prefill_result: Mutex<Option<PrefillResult>>,
@@ -112,6 +115,7 @@
         let window = Arc::new(StreamWindow::new(gateway.stream_window));
         Self {
             window,
+            first_writer: Mutex::new(None),
             gateway,
             prefill_result: Mutex::new(None),
             kind,
@@ -216,7 +220,17 @@
     ) -> Result<FlowEvent, UpstreamFailure> {
         let handle = run.handle.as_ref().map(|handle| handle.0.as_str());
         let step = UpstreamStep::Run { resume_after: run.first_token, handle };
+        let goes_on = run.first_token > 0;
+        if goes_on {
+            let writer = lock(&self.first_writer).clone();
+            self.gateway.check_continuation(run, writer.as_ref()).await?;
+        }
+        let mut writer = self.gateway.describe_writer(run);
         let (exchange, head) = self.send(&run.target, step).await?;
+        if !goes_on {
+            writer.set_answered(self.gateway.node.clock.boot());
+            *lock(&self.first_writer) = Some(writer);
+        }
         if head.kind != ResponseKind::Matching {
             if head.kind != ResponseKind::Foreign {
                 self.read_buffered(exchange, &head, MAX_SHORT_RESPONSE_BYTES).await?;
--- /dev/null
+++ b/src/transport/gateway/lifetimes.rs
@@ -0,0 +1,143 @@
+//! Asks upstreams which incarnation they are, before a stream that has begun goes on.
+
+use crate::coordination::flow::UpstreamFailure;
+use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning, is_certain};
+use crate::prelude::*;
+use crate::transport::gateway::start::Gateway;
+use crate::transport::log_limiter::DecisionKind;
+use crate::transport::node::lock;
+use crate::transport::runs::{AttemptTarget, RunRequest};
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use metrics::counter;
+use std::net::SocketAddr;
+use std::time::SystemTime;
+use tokio::time::timeout;
+
+/// The largest report that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+/// How long the upstream at which a stream is to go on may take to say which incarnation it is.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same for the upstream that began it, which has often ended.
+const WRITER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The upstream that began a stream.
+#[derive(Clone, Debug)]
+pub struct FirstWriter {
+    address: SocketAddr,
+    answered_at: BootTime,
+    beginning: StreamBeginning,
+    upstream: UpstreamName,
+}
+
+impl Gateway {
+    /// Returns what is known of the upstream to which the first run of a stream is about to be sent.
+    pub fn describe_writer(&self, run: &RunRequest) -> FirstWriter {
+        let AttemptTarget { address, upstream, .. } = &run.target;
+        let recorded = lock(&self.registry).lifetime_of(upstream);
+        let beginning = StreamBeginning { recorded, software: run.software.clone() };
+        let answered_at = self.node.clock.boot();
+        FirstWriter { address: *address, answered_at, beginning, upstream: upstream.clone() }
+    }
+
+    /// Makes sure that a stream goes on at the software version that began it. `writer` is the upstream
+    /// that began it, unless another daemon sent the first run.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UpstreamFailure::Withheld`] if it may not go on there.
+    pub async fn check_continuation(
+        &self,
+        run: &RunRequest,
+        writer: Option<&FirstWriter>,
+    ) -> Result<(), UpstreamFailure> {
+        let AttemptTarget { address, upstream, .. } = &run.target;
+        let (is_refuted, said) = tokio::join!(
+            async {
+                match writer {
+                    Some(writer) => self.is_refuted(writer).await,
+                    None => false,
+                }
+            },
+            self.ask_lifetime(*address, upstream, REPORT_TIMEOUT),
+        );
+        let is_certain = !is_refuted && self.is_version_certain(run, said).await;
+        if is_certain {
+            return Ok(());
+        }
+        counter!("apricotrun_uncertain_versions_total").increment(1);
+        if self.node.log_limiter.permits(DecisionKind::Lost) {
+            log::info!(
+                upstream:% = upstream, software:% = run.software, said:? = said,
+                writer = writer.map_or("", |writer| writer.upstream.as_str()), is_refuted,
+                after = run.first_token;
+                "entry: a stream does not go on at an uncertain version"
+            );
+        }
+        Err(UpstreamFailure::Withheld)
+    }
+
+    async fn is_version_certain(&self, run: &RunRequest, said: LifetimeReport) -> bool {
+        let is_certain = || {
+            let recorded = lock(&self.registry).lifetime_of(&run.target.upstream);
+            is_certain(recorded.as_ref(), &run.software, said)
+        };
+        if is_certain() {
+            return true;
+        }
+        // Its record may have changed since the list was read.
+        let asked_at = self.node.clock.boot();
+        let is_started = matches!(said, LifetimeReport::Started(..));
+        is_started && self.read_directory_since(asked_at).await && is_certain()
+    }
+
+    async fn is_refuted(&self, writer: &FirstWriter) -> bool {
+        let said = self.ask_lifetime(writer.address, &writer.upstream, WRITER_TIMEOUT).await;
+        let clock = &self.node.clock;
+        let elapsed = clock.boot().since(writer.answered_at);
+        let answered = clock.wall().checked_sub(elapsed).unwrap_or(SystemTime::UNIX_EPOCH);
+        writer.beginning.is_refuted(answered, said)
+    }
+
+    async fn ask_lifetime(
+        &self,
+        address: SocketAddr,
+        upstream: &UpstreamName,
+        limit: Duration,
+    ) -> LifetimeReport {
+        let recorded = lock(&self.registry).lifetime_of(upstream);
+        if recorded.is_some_and(|recorded| recorded.incarnation.is_zero()) {
+            return LifetimeReport::Unsaid;
+        }
+        let asked = timeout(limit, self.request_report(address, upstream)).await;
+        asked.ok().flatten().unwrap_or(LifetimeReport::Unanswered)
+    }
+
+    async fn request_report(
+        &self,
+        address: SocketAddr,
+        upstream: &UpstreamName,
+    ) -> Option<LifetimeReport> {
+        let host = header::HeaderValue::from_str(&address.to_string()).ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = self.dialect.report_path().parse().ok()?;
+        request.headers_mut().insert(header::HOST, host);
+        let key = (address, upstream.clone());
+        let limit = self.connection_limit(upstream);
+        let exchange = self.connections.send(&key, limit, request).await.ok()?;
+        let (head, body) = exchange.response.into_parts();
+        let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
+        let report = self.dialect.read_report(&head, &body)?;
+        // The run is sent on the same connection, and so to the same process.
+        self.connections.release(exchange.connection, self.dialect.read_keep_alive(&head.headers));
+        Some(report)
+    }
+}
+
+impl FirstWriter {
+    /// Records that the head of the response arrived at this time.
+    pub fn set_answered(&mut self, at: BootTime) {
+        self.answered_at = at;
+    }
+}
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod frontend;
 pub mod heads;
+pub mod lifetimes;
 pub mod notices;
 pub mod paths;
 pub mod probes;
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -446,6 +446,7 @@
         let run = RunRequest {
             first_token: from,
             handle,
+            software: self.software.clone(),
             target: self.target(&attempt, address, runner),
         };
         let (events, executor) = (self.attempt_sender.clone(), self.executor.clone());
--- a/src/transport/runs.rs
+++ b/src/transport/runs.rs
@@ -36,6 +36,8 @@
     pub first_token: u32,
     /// The handle of the prompt's KV cache; `None` if the runner computes the prompt itself.
     pub handle: Option<KvHandle>,
+    /// The software version for which the attempt was placed there.
+    pub software: SoftwareVersion,
     /// The decode worker or plain upstream.
     pub target: AttemptTarget,
 }
