Take and answer requests by what is left of a planned stop

Callers saw their connection end.

Cause: the host exits 300 ms before the kill with whatever is in flight, and no request knew of that time; a connection that was accepted while the load balancer still sends may bring its request at any later time.

Change: a stop has a plan (coordination/stops.rs) that the request flow is told of. A request whose expected work, with slack, does not end before answers are due is refused with 503 and a short Retry-After, at its admission, at a grant and before a retry. A run that has sent nothing is ended when answers are due: 503 if it has not run, 502 otherwise. What waits elsewhere (a body, another host's answer) is answered at these times too. Streams that have begun go on until the exit. The log says how many requests of which kind are cut off; apricotrun_stop_refusals_total counts the refusals.

The decisions take the time and are tested alone: stop_plan (3) and four tests of flow. Not changed: apricotrund, which waits up to its drain limit and ends what is left without an answer.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -42,6 +42,11 @@
         if !self.is_current(&attempt) || !matches!(self.stage, FlowStage::Admission { .. }) {
             return self.release_grant(domain, grant, out);
         }
+        if self.stop_due().is_some_and(|due| due <= now) {
+            self.release_grant(domain, grant, out);
+            self.end_for_stop(now, out);
+            return;
+        }
         let cached_prefill = self.usable_prefill(now);
         if grant.claim.phase == ClaimPhase::Transfer && cached_prefill.is_none() {
             // The prefill result was evicted while the request was queued.
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -4,6 +4,7 @@
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
+use crate::coordination::stops::StopPlan;
 use crate::prelude::*;
 use std::collections::BTreeSet;
 use std::fmt;
@@ -22,6 +23,8 @@
     pub account: AccountName,
     /// The expected length of the output.
     pub expected_output: Tokens,
+    /// The time that a run is expected to take, by which a host that stops decides whether to start it.
+    pub expected_work: Duration,
     /// The target for the time between two tokens; zero for calls that stream no tokens.
     pub inter_token_target: Duration,
     /// The upstreams that must not be used, because of what they said in earlier responses.
@@ -158,6 +161,8 @@
     RunFailed(AttemptId, UpstreamFailure),
     /// The caller has disconnected.
     CallerDisconnected,
+    /// The host stops by this plan.
+    HostStops(StopPlan),
     /// The shard may have a new owner.
     OwnerChanged,
     /// Requests with these parts in their prompts are refused from now on.
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
 use crate::coordination::messages::{AdmissionRequest, GrantMessage, ReleaseOutcome, ShardMessage};
+use crate::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
 use crate::prelude::*;
 use std::collections::BTreeSet;
 
@@ -120,6 +121,8 @@
     suspect: bool,
     /// Whether an upstream may have executed the request, which a refusal has to report.
     may_have_run: bool,
+    /// The plan by which the host stops, once it does.
+    stop: Option<StopPlan>,
     /// Whether the run waits for the KV cache of the prompt to be transferred.
     awaiting_transfer: bool,
 }
@@ -149,6 +152,7 @@
             attempts_started: 0,
             suspect: crash_weight > 0,
             may_have_run: false,
+            stop: None,
             awaiting_transfer: false,
         }
     }
@@ -189,6 +193,10 @@
                 self.fail_attempt(now, &attempt, failure, ReleaseOutcome::RunnerLost, &mut out);
             }
             FlowEvent::CallerDisconnected => self.handle_caller_disconnected(&mut out),
+            FlowEvent::HostStops(plan) => {
+                self.stop = Some(plan);
+                self.end_for_stop(now, &mut out);
+            }
             FlowEvent::PartsRefused(parts) => self.handle_parts_refused(&parts, &mut out),
             FlowEvent::OwnerChanged => self.resend_admission_request(now, &mut out),
             FlowEvent::Tick => self.handle_tick(now, &mut out),
@@ -208,7 +216,8 @@
             FlowStage::Active(active) => active.stall_deadline,
             FlowStage::Ended => return None,
         };
-        Some(step.min(self.spec.deadline))
+        let step = step.min(self.spec.deadline);
+        Some(self.stop_due().map_or(step, |due| step.min(due)))
     }
 
     /// Returns when the request is aborted and refused if it has not ended.
@@ -261,6 +270,9 @@
     /// Starts a new attempt: probes the local failure domain, then the others, then queues in the
     /// local one.
     fn request_admission(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
+        if self.end_for_stop(now, out) {
+            return;
+        }
         self.attempt += 1;
         self.domain_index = 0;
         if self.spec.domains.len() == 1 {
@@ -554,6 +566,30 @@
         }
     }
 
+    /// Returns from when on the request is refused because the host stops: a run that has begun has until
+    /// answers are due, another one must be expected to end by then. A stream of which the caller has a
+    /// part goes on until the process exits, since it can only be cut off.
+    fn stop_due(&self) -> Option<Instant> {
+        let plan = self.stop.filter(|_| self.tokens() == 0)?;
+        Some(match &self.stage {
+            FlowStage::Active(_) => plan.answers_due(),
+            _ => plan.latest_start(self.spec.expected_work).unwrap_or(self.started),
+        })
+    }
+
+    /// Refuses the request if it cannot end before the host does, and returns whether it has.
+    fn end_for_stop(&mut self, now: Instant, out: &mut Vec<FlowAction>) -> bool {
+        if self.stop_due().is_none_or(|due| now < due) {
+            return false;
+        }
+        self.may_have_run |= self.is_running();
+        self.withdraw(out);
+        self.abort(ReleaseOutcome::Cancelled, false, out);
+        let refusal = Refusal::not_run(RefusalReason::Stopping);
+        self.refuse(refusal.with_retry_after(STOP_RETRY_AFTER), out);
+        true
+    }
+
     fn handle_tick(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         if now >= self.spec.deadline {
             self.may_have_run |= self.is_running();
@@ -561,6 +597,9 @@
             self.abort(ReleaseOutcome::Cancelled, false, out);
             return self.refuse(Refusal::not_run(RefusalReason::DeadlinePassed), out);
         }
+        if self.end_for_stop(now, out) {
+            return;
+        }
         match &mut self.stage {
             FlowStage::Admission {
                 mode: AdmissionMode::Queued { last_probed, next_probe, period },
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 pub mod roles;
 pub mod shard;
 pub mod software_versions;
+pub mod stops;
 pub mod store;
 pub mod stream_origins;
 pub mod tickets;
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -27,7 +27,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// What a daemon is built from besides its settings.
 pub struct NodeDependencies {
@@ -97,6 +97,7 @@
         shards: Mutex::new(ShardTable::new()),
         started: now,
         stop_requested: Notify::new(),
+        stop: watch::Sender::new(None),
         stopping: AtomicBool::new(false),
         store: parts.store,
         tickets: Mutex::new(TicketTable::new(me.clone())),
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections and serves each request once.
 
+use crate::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
 use crate::prelude::*;
 use crate::state::routes::{CallerLimits, RouteRule, RouteTable};
 use crate::transport::gateway::bodies::BodyError;
@@ -12,7 +13,7 @@
 use crate::transport::gateway::request::ForwardedRequest;
 use crate::transport::gateway::start::{Gateway, GatewayState};
 use crate::transport::log_limiter::DecisionKind;
-use crate::transport::node::lock;
+use crate::transport::node::{DaemonNode, lock};
 use http::request::Parts;
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -143,18 +144,55 @@
         return refusal_response(&refusal);
     };
     let guard = state.track_request();
-    let response = serve_request(gateway, request, guard).await;
+    let node = gateway.node.clone();
+    let response = tokio::select! {
+        response = serve_request(gateway, request, guard) => response,
+        () = node.wait_for_stop_time(StopPlan::last_answers) => {
+            refuse_for_stop(&node, Verdict::MayHaveRun)
+        }
+    };
     counter!("apricotrun_answers_total", "status" => response.status().as_str().to_owned())
         .increment(1);
     response
 }
 
+/// Answers a request that this host has not served before it stops.
+fn refuse_for_stop(node: &DaemonNode, verdict: Verdict) -> Response<ResponseBody> {
+    counter!("apricotrun_stop_refusals_total", "verdict" => verdict.as_str()).increment(1);
+    if node.log_limiter.permits(DecisionKind::Refused) {
+        log::info!(reason:? = RefusalReason::Stopping, verdict:%; "entry: not answered");
+    }
+    let refusal = Refusal::not_run(RefusalReason::Stopping).with_retry_after(STOP_RETRY_AFTER);
+    refusal_response(&refusal.with_verdict(verdict))
+}
+
 /// Counts a request as in flight until its response is complete.
-pub struct InFlightGuard(pub Arc<GatewayState>);
+pub struct InFlightGuard {
+    begun: bool,
+    state: Arc<GatewayState>,
+}
+
+impl InFlightGuard {
+    /// Counts a request as in flight.
+    pub fn new(state: Arc<GatewayState>) -> Self {
+        state.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { begun: false, state }
+    }
+
+    /// Counts the request as a stream of which the caller is sent a part.
+    pub fn begin_stream(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) {
+            self.state.streams.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let left = self.0.in_flight.fetch_sub(1, Ordering::Relaxed) - 1;
+        if self.begun {
+            self.state.streams.fetch_sub(1, Ordering::Relaxed);
+        }
+        let left = self.state.in_flight.fetch_sub(1, Ordering::Relaxed) - 1;
         gauge!("apricotrun_requests_in_flight").set(left as f64);
     }
 }
@@ -196,7 +234,13 @@
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(RESPONSE_MARGIN);
     let deadline = accepted + timeout.min(rule.timeout);
     let read = gateway.request_budget.read(body, routes.limits.max_body_bytes);
-    let (body, reservation) = match tokio::time::timeout(deadline - accepted, read).await {
+    let read = tokio::select! {
+        read = tokio::time::timeout(deadline - accepted, read) => read,
+        () = gateway.node.wait_for_stop_time(StopPlan::answers_due) => {
+            return refuse_for_stop(&gateway.node, Verdict::NotRun);
+        }
+    };
+    let (body, reservation) = match read {
         Ok(Ok(read)) => read,
         Ok(Err(BodyError::BudgetExhausted)) => {
             if gateway.node.log_limiter.permits(DecisionKind::Unserved) {
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -1,6 +1,7 @@
 //! Runs one accepted request through the request flow and builds its response.
 
 use crate::coordination::flow::RequestSpec;
+use crate::coordination::stops::{STOP_RETRY_AFTER, expected_work};
 use crate::prelude::*;
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::gateway::dialect::InboundHead;
@@ -61,7 +62,7 @@
     accepted: Instant,
     /// The account that the request was charged to, and its cost.
     charged: Option<(AccountName, f64)>,
-    _guard: InFlightGuard,
+    guard: InFlightGuard,
     request_id: String,
     node: Arc<DaemonNode>,
 }
@@ -85,6 +86,13 @@
             ResponseOutcome::Refused(_) => DecisionKind::Refused,
             ResponseOutcome::CallerDisconnected => DecisionKind::CallerLeft,
         };
+        if let ResponseOutcome::Refused(Refusal {
+            reason: RefusalReason::Stopping, verdict, ..
+        }) = outcome
+        {
+            let verdict = verdict.as_str();
+            counter!("apricotrun_stop_refusals_total", "verdict" => verdict).increment(1);
+        }
         if !self.node.log_limiter.permits(kind) {
             return;
         }
@@ -107,6 +115,10 @@
 impl ForwardedRequest {
     /// Runs the request and returns its response. The events of a stream are relayed in the body.
     pub async fn serve(self) -> Response<ResponseBody> {
+        let least_work = expected_work(self.rule.latency_target, Tokens(0), Duration::ZERO);
+        if self.gateway.node.is_too_late_for(least_work) {
+            return self.refuse_for_stop();
+        }
         if self.gateway.paths.is_isolated() {
             if self.inbound.relayed {
                 return refuse_relayed();
@@ -159,7 +171,7 @@
         let parts =
             start_request(&node, service, &request_id, spec, executor.clone(), Box::new(NoTrace));
         let accepted = self.accepted;
-        let log = ResponseLog { accepted, charged, _guard: self.guard, request_id, node };
+        let log = ResponseLog { accepted, charged, guard: self.guard, request_id, node };
         wait_for_response(parts, &executor, log, self.deadline).await
     }
 
@@ -198,6 +210,13 @@
         is_sole.then(|| (service.clone(), version))
     }
 
+    /// Refuses a request that cannot end before this host does: other hosts serve it.
+    fn refuse_for_stop(self) -> Response<ResponseBody> {
+        let refusal = Refusal::not_run(RefusalReason::Stopping).with_retry_after(STOP_RETRY_AFTER);
+        self.into_log(None).finish(ResponseOutcome::Refused(refusal));
+        refusal_response(&refusal)
+    }
+
     /// Refuses a stream of unknown origin. Before the time that is named, no host knows more.
     fn refuse_unknown_origin(self, service: &ServiceName) -> Response<ResponseBody> {
         counter!("apricotrun_unknown_origins_total").increment(1);
@@ -214,7 +233,7 @@
     fn into_log(self, charged: Option<(AccountName, f64)>) -> ResponseLog {
         let request_id = self.inbound.head.request_id;
         let node = self.gateway.node.clone();
-        ResponseLog { accepted: self.accepted, charged, _guard: self.guard, request_id, node }
+        ResponseLog { accepted: self.accepted, charged, guard: self.guard, request_id, node }
     }
 
     /// Takes the cost of the request from its account's allotment, and returns both.
@@ -256,6 +275,8 @@
         let max_output = shape.map_or(Tokens(0), |shape| shape.max_output);
         let expected_output =
             shape.and_then(|shape| shape.length_hint).unwrap_or(max_output).min(max_output);
+        let token_time = template.token_time.or(self.rule.inter_event_target);
+        let token_time = token_time.filter(|_| self.rule.kind.is_stream()).unwrap_or_default();
         let path = self.inbound.uri.path().as_bytes();
         let prompt_hash = shape.and_then(|shape| shape.prefix.last()).copied().unwrap_or_default();
         let fingerprint = Fingerprint::of(&[
@@ -273,6 +294,7 @@
             account: self.account(),
             avoid,
             expected_output,
+            expected_work: expected_work(self.rule.latency_target, expected_output, token_time),
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
             crash_weight,
             deadline: self.deadline,
@@ -315,6 +337,7 @@
         match parts.recv().await {
             Some(ResponsePart::Opened | ResponsePart::Response(_)) => {}
             Some(ResponsePart::Text(text)) => {
+                log.guard.begin_stream();
                 let on_end = Box::new(move |outcome| log.finish(outcome));
                 let body = ResponseBody::Events {
                     on_end: Some(on_end),
@@ -364,7 +387,7 @@
 }
 
 /// Returns the response to a request that was passed on to another host.
-fn finish_relayed(outcome: RelayOutcome, log: ResponseLog) -> Response<ResponseBody> {
+fn finish_relayed(outcome: RelayOutcome, mut log: ResponseLog) -> Response<ResponseBody> {
     let mut exchange = match outcome {
         RelayOutcome::Response(exchange) => exchange,
         RelayOutcome::Lost(refusal) => {
@@ -376,6 +399,7 @@
     let (status, mut headers) =
         (exchange.response.status(), std::mem::take(exchange.response.headers_mut()));
     drop_connection_headers(&mut headers);
+    log.guard.begin_stream();
     let on_end = Box::new(move |outcome| log.finish(outcome));
     let mut response = Response::new(ResponseBody::Relayed { exchange, on_end: Some(on_end) });
     *response.status_mut() = status;
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -4,6 +4,7 @@
 use crate::coordination::membership::MemberEvent;
 use crate::coordination::registry::{RegistryEvent, UpstreamRegistry};
 use crate::coordination::retries::{RetryBudget, RetryLimits};
+use crate::coordination::stops::StopPlan;
 use crate::coordination::store::KeyStore;
 use crate::prelude::*;
 use crate::protocol::codec::PeerKey;
@@ -46,8 +47,6 @@
 const BALANCER_LAG: Duration = Duration::from_millis(2_400);
 /// The interval at which a stopping daemon checks whether the last request has ended.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
-/// The process exits by itself this long before the platform would kill it.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// The interval at which the settings file is read, as it may change without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(2);
 /// The interval at which idle connections are pruned and readiness is checked; a tenth of it before
@@ -196,6 +195,8 @@
     pub connections: AtomicUsize,
     /// The number of requests whose responses are not complete.
     pub in_flight: AtomicUsize,
+    /// The number of streams among them of which the caller is sent a part.
+    pub streams: AtomicUsize,
     /// Becomes true when the daemon begins to stop.
     pub stopping: watch::Sender<bool>,
     gateway: OnceLock<Arc<Gateway>>,
@@ -209,6 +210,7 @@
             connections: AtomicUsize::new(0),
             gateway: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
+            streams: AtomicUsize::new(0),
             ready: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
         }
@@ -221,8 +223,7 @@
 
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard(self.clone())
+        InFlightGuard::new(self.clone())
     }
 
     /// Returns the limits for callers that are in force.
@@ -279,9 +280,10 @@
         reload(&state, &reader, &mut settings);
     }
     startup_task.abort();
-    drain(&state, &settings).await;
+    let plan = StopPlan::new(state.clock.now(), settings.stop_grace);
+    drain(&state, &settings, plan).await;
     frontend_task.abort();
-    wait_for_requests(&state, &settings).await;
+    wait_for_requests(&state, plan).await;
     log::info!(left = state.in_flight.load(Ordering::Relaxed); "daemon: stopped");
     Ok(())
 }
@@ -314,11 +316,12 @@
 
 /// Withdraws readiness, leaves the membership and gives up this daemon's shards, then serves what
 /// the load balancer still sends.
-async fn drain(state: &Arc<GatewayState>, settings: &GatewaySettings) {
+async fn drain(state: &Arc<GatewayState>, settings: &GatewaySettings, plan: StopPlan) {
     log::info!(host:% = settings.host; "daemon: stopping after the requests in flight");
     state.stopping.send_replace(true);
     if let Some(gateway) = state.gateway() {
         let node = &gateway.node;
+        node.stop.send_replace(Some(plan));
         node.draining.store(true, Ordering::Relaxed);
         node.handle_member_event(MemberEvent::Leave);
         node.update_roles();
@@ -327,8 +330,8 @@
 }
 
 /// Waits until the last response is complete, for as long as the platform allows.
-async fn wait_for_requests(state: &Arc<GatewayState>, settings: &GatewaySettings) {
-    let remaining = settings.stop_grace.saturating_sub(BALANCER_LAG + KILL_MARGIN);
+async fn wait_for_requests(state: &Arc<GatewayState>, plan: StopPlan) {
+    let remaining = plan.exit().saturating_duration_since(state.clock.now());
     let waited = tokio::time::timeout(remaining, async {
         let has_requests = || {
             state.in_flight.load(Ordering::Relaxed) > 0
@@ -339,7 +342,13 @@
         }
     });
     if waited.await.is_err() {
-        log::warn!("daemon: requests are still in flight at the end of the grace period");
+        let count = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
+        let (in_flight, streams) = (count(&state.in_flight), count(&state.streams));
+        log::warn!(
+            streams, unanswered = in_flight.saturating_sub(streams),
+            others = count(&state.connections).saturating_sub(in_flight);
+            "daemon: requests are cut off at the end of the grace"
+        );
     }
 }
 
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -1,6 +1,7 @@
 //! OpenAI-compatible completions and chat completions, streamed or as one JSON body.
 
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
+use crate::coordination::stops::expected_work;
 use crate::prelude::*;
 use crate::transport::http::head::{AdmittedRequest, RequestHead, admit, read_body};
 use crate::transport::http::reply::{CallerReply, ProblemReply, problem_body};
@@ -249,10 +250,12 @@
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
     let crash_weight = lock(&node.crashes).weight(now, &fingerprint);
     let part_verdict = node.check_parts(now, &parts);
+    let token_time = template.token_time.unwrap_or(template.inter_token_target);
     RequestSpec {
         account: account.clone(),
         avoid: Vec::new(),
         expected_output: limit,
+        expected_work: expected_work(template.first_token_target, limit, token_time),
         inter_token_target: template.inter_token_target.max(Duration::from_millis(1)),
         crash_weight,
         deadline: now + template.deadline,
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -3,6 +3,7 @@
 use crate::coordination::crashing_parts::PartVerdict;
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
+use crate::coordination::stops::expected_work;
 use crate::coordination::tickets::{StoredResponse, TicketDecision, TicketId, TicketResult};
 use crate::prelude::*;
 use crate::transport::engine::PlainCall;
@@ -228,6 +229,7 @@
         account: plain.account.clone(),
         avoid: Vec::new(),
         expected_output: Tokens(0),
+        expected_work: expected_work(template.first_token_target, Tokens(0), Duration::ZERO),
         inter_token_target: Duration::ZERO,
         crash_weight: lock(&node.crashes).weight(now, &fingerprint),
         deadline: now + template.deadline,
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -17,6 +17,7 @@
 use crate::coordination::ownership::{rank_daemons, shard_key};
 use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::software_versions::VersionHistory;
+use crate::coordination::stops::StopPlan;
 use crate::coordination::store::KeyStore;
 use crate::coordination::stream_origins::OriginBoard;
 use crate::coordination::tickets::TicketTable;
@@ -36,7 +37,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// The number of daemons that know the claims of a shard: its owner and two backups.
 pub const SHARD_REPLICAS: usize = 3;
@@ -98,6 +99,8 @@
     pub shard_wake: Notify,
     /// Whether the daemon reports that it is not ready, but still accepts new requests.
     pub draining: AtomicBool,
+    /// The plan by which the daemon stops, once it does and the platform limits the time for it.
+    pub stop: watch::Sender<Option<StopPlan>>,
     /// Notified when an operator asks the daemon to stop.
     pub stop_requested: Notify,
     /// Whether the daemon refuses new requests while it finishes those in flight.
@@ -120,7 +123,30 @@
     pub sequence: AtomicU64,
 }
 
+/// Waits until there is a plan by which the daemon stops.
+pub async fn wait_for_plan(stop: &mut watch::Receiver<Option<StopPlan>>) -> StopPlan {
+    loop {
+        if let Some(plan) = *stop.borrow_and_update() {
+            return plan;
+        }
+        if stop.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 impl DaemonNode {
+    /// Waits until a time of the plan by which the daemon stops.
+    pub async fn wait_for_stop_time(&self, time: fn(&StopPlan) -> Instant) {
+        let plan = wait_for_plan(&mut self.stop.subscribe()).await;
+        tokio::time::sleep(time(&plan).saturating_duration_since(self.clock.now())).await;
+    }
+
+    /// Returns whether the daemon stops before work that is expected to take this long could end.
+    pub fn is_too_late_for(&self, work: Duration) -> bool {
+        self.stop.borrow().is_some_and(|plan| !plan.admits(self.clock.now(), work))
+    }
+
     /// Allocates the id of a new request.
     pub fn next_request_id(&self) -> RequestId {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -12,7 +12,7 @@
 use crate::transport::crashes::join_parts;
 use crate::transport::engine::CallContext;
 use crate::transport::log_limiter::DecisionKind;
-use crate::transport::node::{DaemonNode, lock};
+use crate::transport::node::{DaemonNode, lock, wait_for_plan};
 use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
 use crate::transport::spans::RequestTrace;
 use metrics::{counter, histogram};
@@ -155,7 +155,10 @@
         mut attempt_events: Receiver<FlowEvent>,
     ) {
         let mut disconnect_reported = false;
-        let mut event = FlowEvent::Start;
+        let mut stop = self.node.stop.subscribe();
+        let mut plan = *stop.borrow_and_update();
+        let mut event = plan.map_or(FlowEvent::Start, FlowEvent::HostStops);
+        let mut next = plan.map(|_| FlowEvent::Start);
         loop {
             let now = self.node.clock.now();
             let actions = self.flow.handle(now, event);
@@ -170,6 +173,10 @@
                 event = FlowEvent::CallerDisconnected;
                 continue;
             }
+            if let Some(start) = next.take() {
+                event = start;
+                continue;
+            }
             let now = self.node.clock.now();
             let wake =
                 self.flow.next_wake().map_or(IDLE_SLEEP, |at| at.saturating_duration_since(now));
@@ -182,6 +189,10 @@
                     event => event,
                 },
                 () = tokio::time::sleep(wake) => FlowEvent::Tick,
+                given = wait_for_plan(&mut stop), if plan.is_none() => {
+                    plan = Some(given);
+                    FlowEvent::HostStops(given)
+                }
                 () = self.parts.closed(), if !disconnect_reported => {
                     disconnect_reported = true;
                     self.log_disconnect();
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -272,6 +272,7 @@
             account: account_name(arrival.account),
             avoid: Vec::new(),
             expected_output: Tokens(arrival.output),
+            expected_work: Duration::ZERO,
             inter_token_target: Duration::from_secs_f64(self.mix.inter_token_target),
             crash_weight: 0,
             deadline: at(self.mix.deadline),
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -35,6 +35,7 @@
             account: "desk".parse().expect("valid name"),
             avoid: Vec::new(),
             expected_output: Tokens(100),
+            expected_work: Duration::ZERO,
             inter_token_target: MILLI * 30,
             crash_weight: 0,
             deadline: now + SECOND * 60,
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -7,6 +7,7 @@
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
 use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage};
+use apricotrun::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
 use apricotrun::prelude::*;
 use harness::*;
 use std::sync::Arc;
@@ -680,3 +681,68 @@
     let actions = harness.handle(FlowEvent::Start);
     assert_eq!(requested_software(&actions), [Some("v1".parse().expect("valid version"))]);
 }
+
+fn stopping() -> Refusal {
+    Refusal::not_run(RefusalReason::Stopping).with_retry_after(STOP_RETRY_AFTER)
+}
+
+/// Guards against a request that is passed on shortly before the host exits.
+#[test]
+fn stopping_host_starts_no_run_that_cannot_end_in_time() {
+    let mut harness = FlowHarness::new(|spec| {
+        spec.domains.truncate(1);
+        spec.expected_work = SECOND;
+    });
+    let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
+    assert!(harness.handle(FlowEvent::HostStops(plan)).is_empty());
+    harness.handle(FlowEvent::Start);
+    harness.clock.advance(SECOND * 6);
+    let actions = harness.grant(1, "d0", ClaimPhase::Prefill);
+    let release = ShardMessage::Release(attempt(1), ReleaseOutcome::Cancelled);
+    assert_eq!(actions[0], FlowAction::Send(harness.local_domain.clone(), release));
+    assert!(actions.contains(&FlowAction::Refuse(stopping())), "{actions:?}");
+    assert!(harness.flow.is_ended());
+}
+
+/// Guards against a request that waits while its time to run passes.
+#[test]
+fn waiting_request_is_refused_when_it_can_no_longer_end_before_the_host() {
+    let mut harness = FlowHarness::new(|spec| {
+        spec.domains.truncate(1);
+        spec.expected_work = SECOND;
+    });
+    let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
+    harness.handle(FlowEvent::Start);
+    harness.handle(FlowEvent::HostStops(plan));
+    let due = plan.latest_start(SECOND).expect("a time");
+    harness.clock.advance(due - harness.clock.now());
+    let actions = harness.handle(FlowEvent::Tick);
+    assert!(actions.contains(&FlowAction::Refuse(stopping())), "{actions:?}");
+}
+
+/// Guards against a run that ends with the process, without an answer.
+#[test]
+fn run_without_output_is_answered_before_the_host_exits() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.start_decoding();
+    let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
+    harness.handle(FlowEvent::HostStops(plan));
+    assert!(harness.flow.next_wake().is_some_and(|wake| wake <= plan.answers_due()));
+    harness.clock.advance(plan.answers_due() - harness.clock.now());
+    let actions = harness.handle(FlowEvent::Tick);
+    let refusal = stopping().with_verdict(Verdict::MayHaveRun);
+    assert!(actions.contains(&FlowAction::Refuse(refusal)), "{actions:?}");
+}
+
+/// Guards against a stream that is cut off before the host exits.
+#[test]
+fn stream_that_has_begun_goes_on_until_the_host_exits() {
+    let mut harness = FlowHarness::new(|_| {});
+    harness.start_decoding();
+    harness.valid_token(1, 0);
+    let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
+    harness.handle(FlowEvent::HostStops(plan));
+    harness.clock.advance(plan.answers_due() - harness.clock.now());
+    assert_eq!(emitted(&harness.valid_token(1, 1)), ["t1"]);
+    assert!(!harness.flow.is_ended());
+}
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -191,6 +191,7 @@
             account: "desk".parse().expect("valid name"),
             avoid: Vec::new(),
             expected_output: Tokens(OUTPUT_TOKENS),
+            expected_work: Duration::ZERO,
             inter_token_target: Duration::from_millis(30),
             crash_weight: 0,
             deadline: self.now + Duration::from_secs(20),
--- /dev/null
+++ b/tests/stop_plan.rs
@@ -0,0 +1,40 @@
+//! Tests of what a host that stops may still take.
+
+use apricotrun::coordination::stops::{StopPlan, expected_work};
+use apricotrun::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+#[test]
+fn work_is_taken_as_long_as_its_answer_can_be_written() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, SECOND * 8);
+    let call = expected_work(MILLI * 900, Tokens(0), Duration::ZERO);
+    assert!(plan.admits(now, call));
+    // The load balancer still sends requests.
+    assert!(plan.admits(now + MILLI * 2_400, expected_work(SECOND * 30, Tokens(0), MILLI)));
+    assert!(plan.admits(now + SECOND * 6, call));
+    assert!(!plan.admits(now + MILLI * 6_200, call));
+    assert!(!plan.admits(plan.answers_due(), Duration::ZERO));
+}
+
+#[test]
+fn stream_that_is_longer_than_the_grace_is_never_taken() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, SECOND * 8);
+    let stream = expected_work(MILLI * 900, Tokens(10_000), MILLI);
+    assert!(!plan.admits(now, stream));
+    assert!(!plan.admits(now, expected_work(SECOND, Tokens(u32::MAX), SECOND)));
+    assert!(plan.admits(now, expected_work(MILLI * 900, Tokens(2_000), MILLI)));
+}
+
+#[test]
+fn answers_are_due_before_the_exit_and_the_exit_before_the_kill() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, SECOND * 8);
+    assert!(plan.answers_due() < plan.last_answers() && plan.last_answers() < plan.exit());
+    assert!(plan.exit() < now + SECOND * 8);
+    let none = StopPlan::new(now, Duration::ZERO);
+    assert_eq!((none.answers_due(), none.exit()), (now, now));
+}
