Serve the first request of a connection that is older than the stop

Callers saw the connection end without a byte; no worker ran the request.

Cause: at the stop every connection was told to shut down gracefully, and hyper closes one of which it has read nothing at once (Dispatcher::disable_keep_alive: initial state, empty buffer), while a connection that is accepted a moment later is served its first request. Ruled out: heads of which a part has been read (checked first, they are answered without the change), and the proxy of the upgrades test (this test has none).

Change: a connection is shut down only if a whole head has come on it. Responses of a stopping host say Connection: close, so another one ends after its first answer. With the condition removed, the test fails again.

--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -15,7 +15,7 @@
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::{DaemonNode, lock};
 use http::request::Parts;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -77,7 +77,11 @@
             timer.record_head();
             let (state, timer) = (state.clone(), timer.clone());
             async move {
-                let response = serve(state, request).await;
+                let mut response = serve(state.clone(), request).await;
+                if *state.stopping.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 timer.record_response_start();
                 Ok::<_, Infallible>(response)
             }
@@ -85,7 +89,7 @@
     };
     state.connections.fetch_add(1, Ordering::Relaxed);
     // While the daemon stops, the load balancer may still open connections. Each serves one
-    // request.
+    // request, like those on which none has come yet.
     let is_stopping = *stopping.borrow();
     let stream = TimedStream::new(TokioIo::new(stream), timer.clone());
     let connection =
@@ -95,7 +99,11 @@
         tokio::select! {
             result = connection.as_mut() => result,
             () = wait_for_stop(&mut stopping), if !is_stopping => {
-                connection.as_mut().graceful_shutdown();
+                // Hyper would close a connection of which it has read nothing, though its first
+                // request may be on its way.
+                if timer.has_head() {
+                    connection.as_mut().graceful_shutdown();
+                }
                 connection.await
             }
         }
--- a/src/transport/gateway/heads.rs
+++ b/src/transport/gateway/heads.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::sync::watch;
 
@@ -27,13 +28,15 @@
 #[derive(Clone, Debug)]
 pub struct HeadTimer {
     clock: Arc<dyn Clock>,
+    has_head: Arc<AtomicBool>,
     state: watch::Sender<HeadState>,
 }
 
 impl HeadTimer {
     /// Returns the timer of a connection on which nothing has been received.
     pub fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, state: watch::Sender::new(HeadState::Idle) }
+        let has_head = Arc::new(AtomicBool::new(false));
+        Self { clock, has_head, state: watch::Sender::new(HeadState::Idle) }
     }
 
     /// Records that bytes were received.
@@ -50,9 +53,15 @@
 
     /// Records that a head is complete.
     pub fn record_head(&self) {
+        self.has_head.store(true, Ordering::Relaxed);
         self.state.send_replace(HeadState::Responding);
     }
 
+    /// Returns whether a whole head has been received on the connection.
+    pub fn has_head(&self) -> bool {
+        self.has_head.load(Ordering::Relaxed)
+    }
+
     /// Records that the response to a request has begun.
     pub fn record_response_start(&self) {
         self.state.send_replace(HeadState::Idle);
