Correct the origin of a stream that began by an old record

A stream began at a worker that was v2 already, by its v1 record; the hosts that keep origins were told v1, and a host at which the caller took it up went on at a real v1.

Cause: an origin was never looked at again after the record by which it was made turned out to be old.

Change: the entry keeps with the origin which upstream answered, by which record and when. When that upstream's record names another incarnation which had started before, the origin gets its version; when the upstream itself says so and the record is still on its way, or when the grant and the own record disagree, the origin becomes `SoftwareVersion::unknown`, which no upstream runs, so that hosts of either build refuse. The hosts that keep it are told with the message that makes origins.

Ruled out: an incarnation in `StreamOrigin` (older builds would not read it); asking when a stream begins.

Open: an entry that ends before it reads the new record leaves a wrong origin.

--- a/src/coordination/stream_origins.rs
+++ b/src/coordination/stream_origins.rs
@@ -7,8 +7,10 @@
 
 use crate::coordination::messages::StreamOrigin;
 use crate::coordination::ownership::{origin_key, rank_daemons};
+use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning};
 use crate::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::SystemTime;
 
 /// How many daemons keep an origin in the failure domain of the entry daemon, and how many among
 /// all daemons.
@@ -35,12 +37,53 @@
     pub to: DaemonId,
 }
 
+/// The upstream at which this daemon began a stream.
+#[derive(Clone, Debug)]
+pub struct OriginWriter {
+    /// When the head of its response arrived.
+    pub answered_at: BootTime,
+    /// What was known of it then.
+    pub beginning: StreamBeginning,
+    /// Its name.
+    pub upstream: UpstreamName,
+}
+
+impl OriginWriter {
+    /// Returns whether another version than the one for which the run was placed wrote the stream, by
+    /// what the upstream says. `boot` and `wall` are the present time.
+    pub fn is_refuted(&self, boot: BootTime, wall: SystemTime, said: LifetimeReport) -> bool {
+        self.beginning.is_refuted(self.answered(boot, wall), said)
+    }
+
+    /// Returns the version that wrote the stream if it is not the one for which the run was placed; `said`
+    /// is of an incarnation with the version `software`.
+    pub fn corrected_version(
+        &self,
+        boot: BootTime,
+        wall: SystemTime,
+        said: LifetimeReport,
+        software: &SoftwareVersion,
+    ) -> Option<SoftwareVersion> {
+        let has_written = said.was_started_by(self.answered(boot, wall));
+        self.is_refuted(boot, wall, said).then(|| match has_written {
+            true => software.clone(),
+            false => SoftwareVersion::unknown(),
+        })
+    }
+
+    fn answered(&self, boot: BootTime, wall: SystemTime) -> SystemTime {
+        wall.checked_sub(boot.since(self.answered_at)).unwrap_or(SystemTime::UNIX_EPOCH)
+    }
+}
+
 #[derive(Debug)]
 struct OriginEntry {
     expires_at: Instant,
     /// The daemons that should keep it, by the members that this daemon knew last.
     holders: BTreeSet<DaemonId>,
     origin: StreamOrigin,
+    /// Which upstream began it, if this daemon sent it the run.
+    writer: Option<OriginWriter>,
 }
 
 /// The origins of streams that this daemon keeps, by the caller's id of the request.
@@ -80,7 +123,7 @@
         self.expire(now);
         let holders = holders_of(request, &origin, &self.daemons);
         let expires_at = now + lifetime;
-        let entry = OriginEntry { expires_at, holders, origin };
+        let entry = OriginEntry { expires_at, holders, origin, writer: None };
         if let Some(old) = self.entries.insert(request.to_owned(), entry) {
             self.expiry.remove(&(old.expires_at, request.to_owned()));
         }
@@ -90,6 +133,43 @@
         }
     }
 
+    /// Records which upstream began a stream at this daemon.
+    pub fn name_writer(&mut self, request: &str, writer: OriginWriter) {
+        if let Some(entry) = self.entries.get_mut(request) {
+            entry.writer = Some(writer);
+        }
+    }
+
+    /// Returns the streams that this daemon began at an upstream, with what is known of it.
+    pub fn begun_at(&self, upstream: &UpstreamName) -> impl Iterator<Item = (&str, &OriginWriter)> {
+        let writers = self
+            .entries
+            .iter()
+            .filter_map(|(request, entry)| Some((request.as_str(), entry.writer.as_ref()?)));
+        writers.filter(move |(_, writer)| writer.upstream == *upstream)
+    }
+
+    /// Replaces the software version that began a stream at this daemon, and returns the copies to send.
+    pub fn correct(
+        &mut self,
+        now: Instant,
+        request: &str,
+        software: &SoftwareVersion,
+    ) -> Vec<OriginCopy> {
+        let Some(entry) = self.entries.get_mut(request) else { return Vec::new() };
+        if entry.origin.software == *software || entry.writer.is_none() {
+            return Vec::new();
+        }
+        entry.origin.software = software.clone();
+        let copies = entry.holders.iter().map(|to| OriginCopy {
+            lifetime: entry.expires_at.saturating_duration_since(now),
+            origin: entry.origin.clone(),
+            request: request.to_owned(),
+            to: to.clone(),
+        });
+        copies.collect()
+    }
+
     /// Returns the origin of the stream that a request began.
     pub fn find(&self, now: Instant, request: &str) -> Option<&StreamOrigin> {
         let entry = self.entries.get(request).filter(|entry| now < entry.expires_at)?;
--- a/src/coordination/upstream_lifetimes.rs
+++ b/src/coordination/upstream_lifetimes.rs
@@ -39,18 +39,28 @@
     /// by what its upstream says now. The run was answered at `answered`.
     pub fn is_refuted(&self, answered: SystemTime, said: LifetimeReport) -> bool {
         let Some(recorded) = &self.recorded else { return false };
-        if recorded.software != self.software {
-            return true;
-        }
-        match said {
-            // An incarnation that started later has written nothing of it.
-            LifetimeReport::Started(incarnation, started) => {
-                let is_other =
-                    !recorded.incarnation.is_zero() && incarnation != recorded.incarnation;
-                is_other && started <= answered
+        let is_other =
+            |incarnation| !recorded.incarnation.is_zero() && incarnation != recorded.incarnation;
+        // An incarnation that started later has written nothing of it.
+        let has_other_writer = match said {
+            LifetimeReport::Started(incarnation, _) => {
+                is_other(incarnation) && said.was_started_by(answered)
             }
             LifetimeReport::Unsaid | LifetimeReport::Unanswered => false,
-        }
+        };
+        has_other_writer || self.is_doubtful()
+    }
+
+    /// Returns whether the run was placed by another record than this daemon has.
+    pub fn is_doubtful(&self) -> bool {
+        self.recorded.as_ref().is_some_and(|recorded| recorded.software != self.software)
+    }
+}
+
+impl LifetimeReport {
+    /// Returns whether the incarnation is known to have been there at `time`.
+    pub fn was_started_by(self, time: SystemTime) -> bool {
+        matches!(self, Self::Started(_, started) if started <= time)
     }
 }
 
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -105,6 +105,12 @@
 pub struct SoftwareVersion(String);
 
 impl SoftwareVersion {
+    /// Returns the version of a stream whose version is not known. No upstream runs it, so that the stream
+    /// goes on nowhere.
+    pub fn unknown() -> Self {
+        Self("?".repeat(MAX_NAME_BYTES))
+    }
+
     /// Returns the version as text; it is empty if the upstream names none.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -6,6 +6,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, HeaderValue};
+use std::time::SystemTime;
 use thiserror::Error;
 
 /// Why the headers of a request were rejected.
@@ -161,6 +162,9 @@
     /// Reads how long the upstream keeps the connection open while it is idle, if it says so.
     fn read_keep_alive(&self, headers: &HeaderMap) -> Option<Duration>;
 
+    /// Returns when an upstream of this incarnation started, by its own clock.
+    fn start_of(&self, incarnation: Incarnation) -> Option<SystemTime>;
+
     /// Returns the path under which a GET request makes an upstream report its incarnation.
     fn report_path(&self) -> &'static str;
 
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -417,8 +417,12 @@
         let changes = events.into_iter().flat_map(|event| registry.handle(now, event));
         let changes: Vec<_> = changes.collect();
         gauge!("apricotrun_upstreams_known").set(registry.len() as f64);
+        drop(registry);
         for change in &changes {
             log_change(change);
+            if let RegistryChange::Ready(name) | RegistryChange::Draining(name) = change {
+                self.correct_origins(name);
+            }
         }
         !changes.is_empty()
     }
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -223,12 +223,14 @@
         let goes_on = run.first_token > 0;
         if goes_on {
             let writer = lock(&self.first_writer).clone();
-            self.gateway.check_continuation(run, writer.as_ref()).await?;
+            let request = self.request.head.request_id.as_str();
+            self.gateway.check_continuation(run, request, writer.as_ref()).await?;
         }
-        let mut writer = self.gateway.describe_writer(run);
+        let begins = !goes_on && self.kind.is_resumable();
+        let writer = begins.then(|| self.gateway.describe_writer(run));
         let (exchange, head) = self.send(&run.target, step).await?;
-        if !goes_on {
-            writer.set_answered(self.gateway.node.clock.boot());
+        if let Some(writer) = writer {
+            let writer = self.gateway.keep_writer(&self.request.head.request_id, writer);
             *lock(&self.first_writer) = Some(writer);
         }
         if head.kind != ResponseKind::Matching {
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -1,6 +1,7 @@
 //! Asks upstreams which incarnation they are, before a stream that has begun goes on.
 
 use crate::coordination::flow::UpstreamFailure;
+use crate::coordination::stream_origins::OriginWriter;
 use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning, is_certain};
 use crate::prelude::*;
 use crate::transport::gateway::start::Gateway;
@@ -12,7 +13,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use metrics::counter;
 use std::net::SocketAddr;
-use std::time::SystemTime;
 use tokio::time::timeout;
 
 /// The largest report that is read, in bytes.
@@ -25,10 +25,10 @@
 /// The upstream that began a stream.
 #[derive(Clone, Debug)]
 pub struct FirstWriter {
-    address: SocketAddr,
-    answered_at: BootTime,
-    beginning: StreamBeginning,
-    upstream: UpstreamName,
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// What is kept of it with the origin of the stream.
+    pub origin: OriginWriter,
 }
 
 impl Gateway {
@@ -38,11 +38,12 @@
         let recorded = lock(&self.registry).lifetime_of(upstream);
         let beginning = StreamBeginning { recorded, software: run.software.clone() };
         let answered_at = self.node.clock.boot();
-        FirstWriter { address: *address, answered_at, beginning, upstream: upstream.clone() }
+        let origin = OriginWriter { answered_at, beginning, upstream: upstream.clone() };
+        FirstWriter { address: *address, origin }
     }
 
     /// Makes sure that a stream goes on at the software version that began it. `writer` is the upstream
-    /// that began it, unless another daemon sent the first run.
+    /// that began it, unless another daemon sent the first run, and `request` the caller's id.
     ///
     /// # Errors
     ///
@@ -50,6 +51,7 @@
     pub async fn check_continuation(
         &self,
         run: &RunRequest,
+        request: &str,
         writer: Option<&FirstWriter>,
     ) -> Result<(), UpstreamFailure> {
         let AttemptTarget { address, upstream, .. } = &run.target;
@@ -66,11 +68,15 @@
         if is_certain {
             return Ok(());
         }
+        if is_refuted {
+            // The record that names the version may still be on its way.
+            self.node.correct_origin(request, &SoftwareVersion::unknown());
+        }
         counter!("apricotrun_uncertain_versions_total").increment(1);
         if self.node.log_limiter.permits(DecisionKind::Lost) {
             log::info!(
                 upstream:% = upstream, software:% = run.software, said:? = said,
-                writer = writer.map_or("", |writer| writer.upstream.as_str()), is_refuted,
+                writer = writer.map_or("", |writer| writer.origin.upstream.as_str()), is_refuted,
                 after = run.first_token;
                 "entry: a stream does not go on at an uncertain version"
             );
@@ -93,11 +99,46 @@
     }
 
     async fn is_refuted(&self, writer: &FirstWriter) -> bool {
-        let said = self.ask_lifetime(writer.address, &writer.upstream, WRITER_TIMEOUT).await;
+        let origin = &writer.origin;
+        let said = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
         let clock = &self.node.clock;
-        let elapsed = clock.boot().since(writer.answered_at);
-        let answered = clock.wall().checked_sub(elapsed).unwrap_or(SystemTime::UNIX_EPOCH);
-        writer.beginning.is_refuted(answered, said)
+        origin.is_refuted(clock.boot(), clock.wall(), said)
+    }
+
+    /// Corrects the origins of the streams that began here at an upstream before its record was known.
+    pub(super) fn correct_origins(&self, upstream: &UpstreamName) {
+        let Some(recorded) = lock(&self.registry).lifetime_of(upstream) else { return };
+        let Some(started) = self.dialect.start_of(recorded.incarnation) else { return };
+        let said = LifetimeReport::Started(recorded.incarnation, started);
+        let (boot, wall) = (self.node.clock.boot(), self.node.clock.wall());
+        let corrected: Vec<_> = {
+            let origins = lock(&self.node.origins);
+            let begun = origins.begun_at(upstream).filter_map(|(request, writer)| {
+                let version = writer.corrected_version(boot, wall, said, &recorded.software)?;
+                Some((request.to_owned(), version))
+            });
+            begun.collect()
+        };
+        if !corrected.is_empty() {
+            log::info!(
+                upstream:% = upstream, software:% = recorded.software, streams = corrected.len();
+                "entry: streams had begun at another version than its record said"
+            );
+        }
+        for (request, version) in corrected {
+            self.node.correct_origin(&request, &version);
+        }
+    }
+
+    /// Keeps which upstream answered the first run of a stream.
+    pub fn keep_writer(&self, request: &str, mut writer: FirstWriter) -> FirstWriter {
+        writer.origin.answered_at = self.node.clock.boot();
+        let is_doubtful = writer.origin.beginning.is_doubtful();
+        lock(&self.node.origins).name_writer(request, writer.origin.clone());
+        if is_doubtful {
+            self.node.correct_origin(request, &SoftwareVersion::unknown());
+        }
+        writer
     }
 
     async fn ask_lifetime(
@@ -134,10 +175,3 @@
         Some(report)
     }
 }
-
-impl FirstWriter {
-    /// Records that the head of the response arrived at this time.
-    pub fn set_answered(&mut self, at: BootTime) {
-        self.answered_at = at;
-    }
-}
--- a/src/transport/stream_origins.rs
+++ b/src/transport/stream_origins.rs
@@ -68,6 +68,12 @@
         self.send_origins(copies);
     }
 
+    /// Replaces the software version that began a stream here, and tells the daemons that keep it.
+    pub fn correct_origin(self: &Arc<Self>, request: &str, software: &SoftwareVersion) {
+        let copies = lock(&self.origins).correct(self.clock.now(), request, software);
+        self.send_origins(copies);
+    }
+
     /// Keeps an origin that another daemon has sent.
     pub fn keep_origin(&self, request: &str, origin: StreamOrigin, lifetime: Duration) {
         lock(&self.origins).learn(self.clock.now(), request, origin, lifetime);
--- a/tests/upstream_lifetimes.rs
+++ b/tests/upstream_lifetimes.rs
@@ -1,5 +1,7 @@
 //! Tests of whether a stream that has begun may go on at an upstream.
 
+use apricotrun::coordination::messages::StreamOrigin;
+use apricotrun::coordination::stream_origins::{OriginBoard, OriginCopy, OriginWriter};
 use apricotrun::coordination::upstream_lifetimes::{
     LifetimeReport, RecordedLifetime, StreamBeginning, is_certain,
 };
@@ -62,3 +64,63 @@
         assert_eq!(beginning.is_refuted(time(10), said), expected, "{record:?} {said:?}");
     }
 }
+
+/// Returns the upstream of a stream that was answered 10 s after the first of two clocks began, and 110 s after
+/// the second.
+fn writer(recorded: RecordedLifetime) -> OriginWriter {
+    OriginWriter {
+        answered_at: BootTime(Duration::from_secs(10)),
+        beginning: StreamBeginning { recorded: Some(recorded), software: version("v1") },
+        upstream: "d0".parse().expect("a valid name"),
+    }
+}
+
+#[test]
+fn origin_is_corrected_to_the_version_that_was_there() {
+    let (boot, wall) = (BootTime(Duration::from_secs(20)), time(120));
+    let cases = [
+        (recorded(50, "v1"), started(50), None),
+        (recorded(50, "v1"), started(109), Some(version("v2"))),
+        (recorded(50, "v1"), started(111), None),
+        (recorded(50, "v2"), started(109), Some(version("v2"))),
+        (recorded(50, "v2"), started(111), Some(SoftwareVersion::unknown())),
+    ];
+    for (record, said, expected) in cases {
+        let corrected = writer(record.clone()).corrected_version(boot, wall, said, &version("v2"));
+        assert_eq!(corrected, expected, "{record:?} {said:?}");
+    }
+}
+
+#[test]
+fn corrected_origin_is_sent_to_all_that_keep_it() {
+    let now = Instant::now();
+    let mut board = OriginBoard::default();
+    let daemons: Vec<DaemonId> =
+        (0..4).map(|index| format!("host-{index}.1").parse().expect("a valid id")).collect();
+    let domain: DomainName = "zone".parse().expect("a valid name");
+    let domains = daemons.iter().map(|daemon| (daemon.clone(), domain.clone())).collect();
+    board.change_daemons(now, domains);
+    let origin = StreamOrigin {
+        domain,
+        entry: daemons[0].clone(),
+        service: "llm".parse().expect("a valid name"),
+        software: version("v1"),
+    };
+    let lifetime = Duration::from_secs(30);
+    let first = board.record(now, "r1", origin, lifetime);
+    let later = now + Duration::from_secs(10);
+    assert!(board.correct(later, "r1", &version("v2")).is_empty(), "it did not begin here");
+    board.name_writer("r1", writer(recorded(50, "v1")));
+    let copies = board.correct(later, "r1", &version("v2"));
+    let receivers = |copies: &[OriginCopy]| -> Vec<DaemonId> {
+        copies.iter().map(|copy| copy.to.clone()).collect()
+    };
+    assert_eq!(receivers(&copies), receivers(&first));
+    assert!(!copies.is_empty());
+    let left = Duration::from_secs(20);
+    assert!(
+        copies.iter().all(|copy| copy.lifetime == left && copy.origin.software == version("v2"))
+    );
+    assert_eq!(board.find(later, "r1").map(|origin| &origin.software), Some(&version("v2")));
+    assert!(board.correct(later, "r1", &version("v2")).is_empty(), "it is corrected already");
+}
