Look at the status of an engine's answer and limit its size

An engine that sent an event without an end kept a core of the daemon busy: the parser's work grows with the square of an event's size, and it left no time for the timeout beside it. An endless answer to a prefill was read on, and a decode answered 204 gave a stream of no events. Cause: decodes and prefills had neither the limit of plain calls nor a look at the status beyond 429 and 503. Only 200 brings output now; an event may have 256 KiB and a prefill's answer 1 MiB. Ruled out: limits in the HTTP client (48 of 48 MiB were taken).

--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -6,12 +6,14 @@
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
 use crate::transport::client::client_builder;
+use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use thiserror::Error;
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -25,6 +27,10 @@
 const HEALTH_BACKOFF: Duration = Duration::from_millis(100);
 /// The largest body of a plain or forwarded response, in bytes.
 const MAX_PLAIN_BYTES: usize = 16 * 1024 * 1024;
+/// The largest response to a prefill, in bytes.
+const MAX_PREFILL_BYTES: usize = 1024 * 1024;
+/// The most bytes without a blank line in a stream of events, which is aborted after them.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// An event of a streamed response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -113,10 +119,10 @@
         body["stream"] = json!(false);
         body["kv_transfer_params"] = json!({ "do_remote_decode": true });
         let request = self.request(&self.pooled, address, path, context).json(&body);
-        let response = self.send(address, request).await?;
-        let value: Value = match response.json().await {
-            Ok(value) => value,
-            Err(_) => return Err(self.diagnose(address).await),
+        let response = self.send_for_output(address, request).await?;
+        let body = read_bounded(response, MAX_PREFILL_BYTES).await;
+        let Some(value) = body.and_then(|body| serde_json::from_slice::<Value>(&body).ok()) else {
+            return Err(self.diagnose(address).await);
         };
         match value.get("kv_transfer_params") {
             Some(handle) => Ok(KvHandle(handle.to_string())),
@@ -148,8 +154,8 @@
             body["continue_from"] = json!(from);
         }
         let request = self.request(&self.pooled, address, path, context).json(&body);
-        let response = self.send(address, request).await?;
-        let events = response.bytes_stream().eventsource();
+        let response = self.send_for_output(address, request).await?;
+        let events = limit_events(response.bytes_stream()).eventsource();
         Ok(events.filter_map(|event| async move {
             match event {
                 Ok(event) => parse_event(&event.data),
@@ -180,7 +186,7 @@
         let media_type =
             response.headers().get("Content-Type").and_then(|value| value.to_str().ok());
         let content_type = media_type.unwrap_or("application/octet-stream").to_owned();
-        match read_bounded(response).await {
+        match read_bounded(response, MAX_PLAIN_BYTES).await {
             Some(body) => Ok(StoredResponse { body: Some(body), content_type, status }),
             None => Err(self.diagnose(address).await),
         }
@@ -282,6 +288,20 @@
         with_context(client.post(format!("http://{address}{path}")), context)
     }
 
+    /// Like [`UpstreamClient::send`], for a request whose output only status 200 brings.
+    async fn send_for_output(
+        &self,
+        address: SocketAddr,
+        request: RequestBuilder,
+    ) -> Result<Response, UpstreamFailure> {
+        let response = self.send(address, request).await?;
+        if response.status().as_u16() != 200 {
+            log::debug!("upstream: {address} answered with status {}", response.status());
+            return Err(self.diagnose(address).await);
+        }
+        Ok(response)
+    }
+
     async fn send(
         &self,
         address: SocketAddr,
@@ -311,7 +331,7 @@
     let content_type = header("Content-Type").unwrap_or_default();
     let replayed = header("Apricotrun-Replayed").is_some();
     let status = response.status().as_u16();
-    let body = read_bounded(response).await?;
+    let body = read_bounded(response, MAX_PLAIN_BYTES).await?;
     let refusal = match content_type.as_str() {
         "application/problem+json" if verdict != Verdict::Ran => {
             Some(parse_refusal(&body, verdict)?)
@@ -334,18 +354,52 @@
     Some(Refusal { reason, retry_after, verdict })
 }
 
-async fn read_bounded(response: Response) -> Option<Vec<u8>> {
+async fn read_bounded(response: Response, limit: usize) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     let mut stream = response.bytes_stream();
     while let Some(part) = stream.next().await {
         body.extend_from_slice(&part.ok()?);
-        if body.len() > MAX_PLAIN_BYTES {
+        if body.len() > limit {
             return None;
         }
     }
     Some(body)
 }
 
+/// An engine's stream of events is not read any further.
+#[derive(Debug, Error)]
+enum StreamError {
+    #[error("the connection broke: {0}")]
+    Broken(#[from] reqwest::Error),
+    #[error("no event ends within {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+}
+
+/// Passes a stream of events on until one is too large, before the parser holds it: its work grows with
+/// the square of an event's size.
+fn limit_events(
+    parts: impl Stream<Item = Result<Bytes, reqwest::Error>>,
+) -> impl Stream<Item = Result<Bytes, StreamError>> {
+    let (mut unended, mut line_is_empty, mut after_return) = (0_usize, false, false);
+    parts.map(move |part| {
+        let part = part?;
+        for byte in &part {
+            unended += 1;
+            match byte {
+                b'\n' if after_return => {}
+                b'\r' | b'\n' if line_is_empty => unended = 0,
+                b'\r' | b'\n' => line_is_empty = true,
+                _ => line_is_empty = false,
+            }
+            after_return = *byte == b'\r';
+            if unended > MAX_EVENT_BYTES {
+                return Err(StreamError::TooLarge);
+            }
+        }
+        Ok(part)
+    })
+}
+
 /// Parses one event; `None` for the `[DONE]` marker, which carries neither a token nor the end.
 fn parse_event(data: &str) -> Option<Result<EngineEvent, UpstreamFailure>> {
     if data == "[DONE]" {
