Send a run that goes on with the connection of the report

Two gaps, by reading; which one it was is not traced. The host gave the connection of the report back to the pool, and the pool sent the run on another one if that one had been closed in between, so to a new process. And the stand-in counted a request that came on a connection of its earlier process as run by the new version.

Not traced, from the failed runs: two tests that waited 15 s in vain for first events, and one stream of `streams_go_on_at_a_worker_that_names_no_birth` that ended after its first event.

--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -132,7 +132,22 @@
                 },
             }
         }
-        let mut connection = self.open(key, limit).await?;
+        Self::send_on(self.open(key, limit).await?, request).await
+    }
+
+    /// Sends a request on this connection and no other, and so to the process that is known to be there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UpstreamFailure::NothingSent`] only if no byte of the request was sent.
+    pub async fn send_on(
+        mut connection: PooledConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<UpstreamExchange, UpstreamFailure> {
+        // The connection may still be ending the response before.
+        if connection.sender.ready().await.is_err() {
+            return Err(UpstreamFailure::NothingSent);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(UpstreamExchange { connection, response }),
             Err(mut error) => match error.take_message() {
--- a/src/transport/gateway/dialect.rs
+++ b/src/transport/gateway/dialect.rs
@@ -159,9 +159,6 @@
     /// Reads the handle of a prefill result from the body of the prefill worker's response.
     fn read_handle(&self, body: &[u8]) -> Option<String>;
 
-    /// Reads how long the upstream keeps the connection open while it is idle, if it says so.
-    fn read_keep_alive(&self, headers: &HeaderMap) -> Option<Duration>;
-
     /// Returns when an upstream of this incarnation started, by its own clock.
     fn start_of(&self, incarnation: Incarnation) -> Option<SystemTime>;
 
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -162,6 +162,7 @@
         &self,
         target: &AttemptTarget,
         step: UpstreamStep<'_>,
+        connection: Option<PooledConnection>,
     ) -> Result<(UpstreamExchange, ResponseHead), UpstreamFailure> {
         if self.gateway.paths.is_isolated() {
             return Err(UpstreamFailure::Withheld);
@@ -182,7 +183,10 @@
         *request.headers_mut() = headers;
         let limit = self.gateway.connection_limit(&target.upstream);
         let key = (target.address, target.upstream.clone());
-        let exchange = self.gateway.connections.send(&key, limit, request).await?;
+        let exchange = match connection {
+            Some(connection) => ConnectionPool::send_on(connection, request).await?,
+            None => self.gateway.connections.send(&key, limit, request).await?,
+        };
         let (parts, body) = exchange.response.into_parts();
         let head = dialect.read_response(&self.request.head.request_id, step, &parts);
         self.gateway.record_notices(now, &target.upstream, incarnation, &head);
@@ -191,7 +195,7 @@
     }
 
     async fn prefill_at(&self, target: &AttemptTarget) -> Result<KvHandle, UpstreamFailure> {
-        let (exchange, head) = self.send(target, UpstreamStep::Prefill).await?;
+        let (exchange, head) = self.send(target, UpstreamStep::Prefill, None).await?;
         let status = exchange.response.status();
         let address = exchange.connection.address();
         let body = self.read_buffered(exchange, &head, MAX_SHORT_RESPONSE_BYTES).await?.body;
@@ -221,14 +225,15 @@
         let handle = run.handle.as_ref().map(|handle| handle.0.as_str());
         let step = UpstreamStep::Run { resume_after: run.first_token, handle };
         let goes_on = run.first_token > 0;
+        let mut connection = None;
         if goes_on {
             let writer = lock(&self.first_writer).clone();
             let request = self.request.head.request_id.as_str();
-            self.gateway.check_continuation(run, request, writer.as_ref()).await?;
+            connection = self.gateway.check_continuation(run, request, writer.as_ref()).await?;
         }
         let begins = !goes_on && self.kind.is_resumable();
         let writer = begins.then(|| self.gateway.describe_writer(run));
-        let (exchange, head) = self.send(&run.target, step).await?;
+        let (exchange, head) = self.send(&run.target, step, connection).await?;
         if let Some(writer) = writer {
             let writer = self.gateway.keep_writer(&self.request.head.request_id, writer);
             *lock(&self.first_writer) = Some(writer);
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -4,6 +4,7 @@
 use crate::coordination::stream_origins::OriginWriter;
 use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning, is_certain};
 use crate::prelude::*;
+use crate::transport::gateway::channels::PooledConnection;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
@@ -20,7 +21,7 @@
 /// How long the upstream at which a stream is to go on may take to say which incarnation it is.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The same for the upstream that began it, which has often ended.
-const WRITER_TIMEOUT: Duration = Duration::from_millis(300);
+const WRITER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The upstream that began a stream.
 #[derive(Clone, Debug)]
@@ -44,6 +45,7 @@
 
     /// Makes sure that a stream goes on at the software version that began it. `writer` is the upstream
     /// that began it, unless another daemon sent the first run, and `request` the caller's id.
+    /// Returns the connection on which the upstream has said which process it is, if it was asked.
     ///
     /// # Errors
     ///
@@ -53,9 +55,9 @@
         run: &RunRequest,
         request: &str,
         writer: Option<&FirstWriter>,
-    ) -> Result<(), UpstreamFailure> {
+    ) -> Result<Option<PooledConnection>, UpstreamFailure> {
         let AttemptTarget { address, upstream, .. } = &run.target;
-        let (is_refuted, said) = tokio::join!(
+        let (is_refuted, (said, connection)) = tokio::join!(
             async {
                 match writer {
                     Some(writer) => self.is_refuted(writer).await,
@@ -66,7 +68,7 @@
         );
         let is_certain = !is_refuted && self.is_version_certain(run, said).await;
         if is_certain {
-            return Ok(());
+            return Ok(connection);
         }
         if is_refuted {
             // The record that names the version may still be on its way.
@@ -100,7 +102,7 @@
 
     async fn is_refuted(&self, writer: &FirstWriter) -> bool {
         let origin = &writer.origin;
-        let said = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
+        let (said, _) = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
         let clock = &self.node.clock;
         origin.is_refuted(clock.boot(), clock.wall(), said)
     }
@@ -146,20 +148,23 @@
         address: SocketAddr,
         upstream: &UpstreamName,
         limit: Duration,
-    ) -> LifetimeReport {
+    ) -> (LifetimeReport, Option<PooledConnection>) {
         let recorded = lock(&self.registry).lifetime_of(upstream);
         if recorded.is_some_and(|recorded| recorded.incarnation.is_zero()) {
-            return LifetimeReport::Unsaid;
+            return (LifetimeReport::Unsaid, None);
         }
         let asked = timeout(limit, self.request_report(address, upstream)).await;
-        asked.ok().flatten().unwrap_or(LifetimeReport::Unanswered)
+        match asked.ok().flatten() {
+            Some((said, connection)) => (said, Some(connection)),
+            None => (LifetimeReport::Unanswered, None),
+        }
     }
 
     async fn request_report(
         &self,
         address: SocketAddr,
         upstream: &UpstreamName,
-    ) -> Option<LifetimeReport> {
+    ) -> Option<(LifetimeReport, PooledConnection)> {
         let host = header::HeaderValue::from_str(&address.to_string()).ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.dialect.report_path().parse().ok()?;
@@ -170,8 +175,6 @@
         let (head, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
         let report = self.dialect.read_report(&head, &body)?;
-        // The run is sent on the same connection, and so to the same process.
-        self.connections.release(exchange.connection, self.dialect.read_keep_alive(&head.headers));
-        Some(report)
+        Some((report, exchange.connection))
     }
 }
