Merge runs that go on with the connection of the report

With one change: the upstream that began a stream is asked from the prefill of the next attempt on; the run waits 50 ms for its answer and the first event the rest of 300 ms. Before, a run waited for it, up to 1 s. A connection that the upstream closes after its report is not taken for the run.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -26,9 +26,11 @@
 use metrics::counter;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
+use tokio::task::JoinHandle;
 
 /// The media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -42,6 +44,9 @@
 /// How long a prefill worker may take to free a result. The claim of the attempt, and with it room in its
 /// decode worker, is held until then.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a run that goes on waits for what the upstream that began the stream says. Its first event
+/// waits longer.
+const WRITER_PATIENCE: Duration = Duration::from_millis(50);
 /// Limit on response bodies that never reach the caller, in bytes: prefill results and refusals.
 const MAX_SHORT_RESPONSE_BYTES: usize = 64 * 1024;
 
@@ -93,6 +98,8 @@
 pub struct ForwardExecutor {
     /// The upstream at which this daemon began the stream, if it did.
     first_writer: Mutex<Option<FirstWriter>>,
+    /// Whether an event of the stream has been relayed.
+    has_relayed: AtomicBool,
     gateway: Arc<Gateway>,
     /// The prefill result that no decode worker has fetched yet.
     prefill_result: Mutex<Option<PrefillResult>>,
@@ -104,6 +111,8 @@
     urgency: Option<UrgencyRank>,
     /// Bounds what is held of a stream for the caller.
     window: Arc<StreamWindow>,
+    /// The question to the upstream that began the stream, until its answer is used.
+    writer_check: Mutex<Option<JoinHandle<bool>>>,
 }
 
 impl ForwardExecutor {
@@ -119,6 +128,7 @@
         Self {
             window,
             first_writer: Mutex::new(None),
+            has_relayed: AtomicBool::new(false),
             gateway,
             prefill_result: Mutex::new(None),
             kind,
@@ -126,6 +136,7 @@
             request,
             service,
             urgency,
+            writer_check: Mutex::new(None),
         }
     }
 
@@ -165,6 +176,7 @@
         &self,
         target: &AttemptTarget,
         step: UpstreamStep<'_>,
+        connection: Option<PooledConnection>,
     ) -> Result<(UpstreamExchange, ResponseHead), UpstreamFailure> {
         if self.gateway.paths.is_isolated() {
             return Err(UpstreamFailure::Withheld);
@@ -185,7 +197,10 @@
         *request.headers_mut() = headers;
         let limit = self.gateway.connection_limit(&target.upstream);
         let key = (target.address, target.upstream.clone());
-        let exchange = self.gateway.connections.send(&key, limit, request).await?;
+        let exchange = match connection {
+            Some(connection) => ConnectionPool::send_on(connection, request).await?,
+            None => self.gateway.connections.send(&key, limit, request).await?,
+        };
         if exchange.response.status().is_informational() {
             // No request asks for another protocol.
             return Err(UpstreamFailure::Broken);
@@ -197,8 +212,37 @@
         Ok((UpstreamExchange { connection: exchange.connection, response }, head))
     }
 
+    /// Asks the upstream that began the stream, if the caller has events of it, which process it is. It has
+    /// often ended and does not answer, so it is asked ahead of the run that goes on.
+    fn ask_writer(&self) {
+        let mut check = lock(&self.writer_check);
+        let writer = lock(&self.first_writer).clone();
+        let Some(writer) = writer.filter(|_| self.has_relayed.load(Ordering::Relaxed)) else {
+            return;
+        };
+        if check.is_none() {
+            let (gateway, request) = (self.gateway.clone(), self.request.head.request_id.clone());
+            *check =
+                Some(tokio::spawn(async move { gateway.check_writer(&request, &writer).await }));
+        }
+    }
+
+    /// Returns whether the upstream that began the stream is known, within `patience`, to have been another
+    /// process than its record said.
+    async fn is_writer_refuted(&self, patience: Duration) -> bool {
+        let Some(mut check) = lock(&self.writer_check).take() else { return false };
+        match tokio::time::timeout(patience, &mut check).await {
+            Ok(answer) => answer.unwrap_or(false),
+            Err(_) => {
+                *lock(&self.writer_check) = Some(check);
+                false
+            }
+        }
+    }
+
     async fn prefill_at(&self, target: &AttemptTarget) -> Result<KvHandle, UpstreamFailure> {
-        let (exchange, head) = self.send(target, UpstreamStep::Prefill).await?;
+        self.ask_writer();
+        let (exchange, head) = self.send(target, UpstreamStep::Prefill, None).await?;
         let status = exchange.response.status();
         let address = exchange.connection.address();
         let body = self.read_buffered(exchange, &head, MAX_SHORT_RESPONSE_BYTES).await?.body;
@@ -228,14 +272,17 @@
         let handle = run.handle.as_ref().map(|handle| handle.0.as_str());
         let step = UpstreamStep::Run { resume_after: run.first_token, handle };
         let goes_on = run.first_token > 0;
+        let mut connection = None;
         if goes_on {
-            let writer = lock(&self.first_writer).clone();
-            let request = self.request.head.request_id.as_str();
-            self.gateway.check_continuation(run, request, writer.as_ref()).await?;
+            self.ask_writer();
+            connection = self.gateway.check_continuation(run).await?;
+            if self.is_writer_refuted(WRITER_PATIENCE).await {
+                return Err(UpstreamFailure::Withheld);
+            }
         }
         let begins = !goes_on && self.kind.is_resumable();
         let writer = begins.then(|| self.gateway.describe_writer(run));
-        let (exchange, head) = self.send(&run.target, step).await?;
+        let (exchange, head) = self.send(&run.target, step, connection).await?;
         if let Some(writer) = writer {
             let writer = self.gateway.keep_writer(&self.request.head.request_id, writer);
             *lock(&self.first_writer) = Some(writer);
@@ -248,6 +295,9 @@
         }
         // The decode worker has fetched the result, and the prefill worker no longer holds it.
         lock(&self.prefill_result).take();
+        if goes_on && self.is_writer_refuted(Duration::MAX).await {
+            return Err(UpstreamFailure::Failed);
+        }
         let status = exchange.response.status();
         let is_stream = status == StatusCode::OK && is_event_stream(exchange.response.headers());
         if self.kind.is_stream() && is_stream {
@@ -381,6 +431,7 @@
                 if events.send(token).await.is_err() {
                     return Err(UpstreamFailure::Broken);
                 }
+                self.has_relayed.store(true, Ordering::Relaxed);
             }
         }
         let last = if previous == 0 { run.first_token } else { previous };
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -4,6 +4,7 @@
 use crate::coordination::stream_origins::OriginWriter;
 use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning, is_certain};
 use crate::prelude::*;
+use crate::transport::gateway::channels::PooledConnection;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
@@ -19,7 +20,8 @@
 const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// How long the upstream at which a stream is to go on may take to say which incarnation it is.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// The same for the upstream that began it, which has often ended.
+/// The same for the upstream that began it, which has often ended. The first event of the run that goes on is
+/// held back for this time at most.
 const WRITER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The upstream that began a stream.
@@ -42,46 +44,53 @@
         FirstWriter { address: *address, origin }
     }
 
-    /// Makes sure that a stream goes on at the software version that began it. `writer` is the upstream
-    /// that began it, unless another daemon sent the first run, and `request` the caller's id.
+    /// Makes sure that the upstream at which a stream is to go on runs the software version that began it.
+    /// Returns the connection on which the upstream has said which process it is, if it stays open.
     ///
     /// # Errors
     ///
-    /// Returns [`UpstreamFailure::Withheld`] if it may not go on there.
+    /// Returns [`UpstreamFailure::Withheld`] if the stream may not go on there.
     pub async fn check_continuation(
         &self,
         run: &RunRequest,
-        request: &str,
-        writer: Option<&FirstWriter>,
-    ) -> Result<(), UpstreamFailure> {
+    ) -> Result<Option<PooledConnection>, UpstreamFailure> {
         let AttemptTarget { address, upstream, .. } = &run.target;
-        let (is_refuted, said) = tokio::join!(
-            async {
-                match writer {
-                    Some(writer) => self.is_refuted(writer).await,
-                    None => false,
-                }
-            },
-            self.ask_lifetime(*address, upstream, REPORT_TIMEOUT),
-        );
-        let is_certain = !is_refuted && self.is_version_certain(run, said).await;
-        if is_certain {
-            return Ok(());
+        let (said, connection) = self.ask_lifetime(*address, upstream, REPORT_TIMEOUT).await;
+        if self.is_version_certain(run, said).await {
+            return Ok(connection);
         }
+        self.log_uncertain(upstream, &run.software, said);
+        Err(UpstreamFailure::Withheld)
+    }
+
+    /// Asks the upstream that began a stream whether another software version than its record said has
+    /// written it. If so, the stream may go on nowhere.
+    pub async fn check_writer(&self, request: &str, writer: &FirstWriter) -> bool {
+        let origin = &writer.origin;
+        let (said, _) = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
+        let clock = &self.node.clock;
+        let is_refuted = origin.is_refuted(clock.boot(), clock.wall(), said);
         if is_refuted {
             // The record that names the version may still be on its way.
             self.node.correct_origin(request, &SoftwareVersion::unknown());
+            self.log_uncertain(&origin.upstream, &origin.beginning.software, said);
         }
+        is_refuted
+    }
+
+    fn log_uncertain(
+        &self,
+        upstream: &UpstreamName,
+        software: &SoftwareVersion,
+        said: LifetimeReport,
+    ) {
         counter!("apricotrun_uncertain_versions_total").increment(1);
         if self.node.log_limiter.permits(DecisionKind::Lost) {
             log::info!(
-                upstream:% = upstream, software:% = run.software, said:? = said,
-                writer = writer.map_or("", |writer| writer.origin.upstream.as_str()), is_refuted,
-                after = run.first_token;
+                upstream:% = upstream, software:% = software, said:? = said;
                 "entry: a stream does not go on at an uncertain version"
             );
         }
-        Err(UpstreamFailure::Withheld)
     }
 
     async fn is_version_certain(&self, run: &RunRequest, said: LifetimeReport) -> bool {
@@ -98,13 +107,6 @@
         is_started && self.read_directory_since(asked_at).await && is_certain()
     }
 
-    async fn is_refuted(&self, writer: &FirstWriter) -> bool {
-        let origin = &writer.origin;
-        let said = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
-        let clock = &self.node.clock;
-        origin.is_refuted(clock.boot(), clock.wall(), said)
-    }
-
     /// Corrects the origins of the streams that began here at an upstream before its record was known.
     pub(super) fn correct_origins(&self, upstream: &UpstreamName) {
         let Some(recorded) = lock(&self.registry).lifetime_of(upstream) else { return };
@@ -145,20 +147,20 @@
         address: SocketAddr,
         upstream: &UpstreamName,
         limit: Duration,
-    ) -> LifetimeReport {
+    ) -> (LifetimeReport, Option<PooledConnection>) {
         let recorded = lock(&self.registry).lifetime_of(upstream);
         if recorded.is_some_and(|recorded| recorded.incarnation.is_zero()) {
-            return LifetimeReport::Unsaid;
+            return (LifetimeReport::Unsaid, None);
         }
         let asked = timeout(limit, self.request_report(address, upstream)).await;
-        asked.ok().flatten().unwrap_or(LifetimeReport::Unanswered)
+        asked.ok().flatten().unwrap_or((LifetimeReport::Unanswered, None))
     }
 
     async fn request_report(
         &self,
         address: SocketAddr,
         upstream: &UpstreamName,
-    ) -> Option<LifetimeReport> {
+    ) -> Option<(LifetimeReport, Option<PooledConnection>)> {
         let host = header::HeaderValue::from_str(&address.to_string()).ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.dialect.report_path().parse().ok()?;
@@ -169,8 +171,7 @@
         let (head, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
         let report = self.dialect.read_report(&head, &body)?;
-        // The run is sent on the same connection, and so to the same process.
-        self.connections.release(exchange.connection, self.dialect.read_keep_alive(&head.headers));
-        Some(report)
+        let closes = head.headers.get(header::CONNECTION).is_some_and(|value| value == "close");
+        Some((report, (!closes).then_some(exchange.connection)))
     }
 }
