Do not ask plain upstreams which process they are

A call whose caller sent Last-Event-Id was refused with 503 if its worker gave no report: it was treated as a stream that goes on. Only streams do. Seen in the last reading of the diff; call_that_names_an_event_asks_no_worker failed before (503) and passes.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -271,7 +271,7 @@
     ) -> Result<FlowEvent, UpstreamFailure> {
         let handle = run.handle.as_ref().map(|handle| handle.0.as_str());
         let step = UpstreamStep::Run { resume_after: run.first_token, handle };
-        let goes_on = run.first_token > 0;
+        let goes_on = self.kind.is_stream() && run.first_token > 0;
         let mut connection = None;
         if goes_on {
             self.ask_writer();
