Tests: no process is forked while ports are tried

The host had ended with 'Address already in use'. Cause: a port is tried by a short bind, and a process that another test has forked at that moment holds the socket until it runs its program. No check or bound has changed.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::{self, EngineConfig};
 use crate::plain::{self, PlainService};
-use crate::server::{StandinServer, free_address};
+use crate::server::{StandinServer, free_address, start_process};
 use crate::store::{self, Store};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -124,7 +124,9 @@
     pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
         let signal = format!("-{name}");
-        let _ = Command::new("kill").args([signal, child.id().to_string()]).status();
+        let mut command = Command::new("kill");
+        command.args([signal, child.id().to_string()]);
+        let _ = start_process(&mut command).and_then(|mut sent| sent.wait());
     }
 
     /// Kills the process and waits until it has exited.
@@ -239,7 +241,8 @@
         if !daemons.is_empty() {
             command.env("APRICOTRUN_DAEMONS", daemons.join(","));
         }
-        command.output()
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        start_process(&mut command)?.wait_with_output()
     }
 
     /// Starts a daemon's process on its addresses, after killing the running one if there is one.
@@ -254,12 +257,9 @@
         };
         let daemon = &mut self.daemons[index];
         daemon.kill();
-        let child = Command::new(self.options.binaries.join("apricotrund"))
-            .arg("--config")
-            .arg(&daemon.settings)
-            .stderr(log)
-            .spawn()?;
-        daemon.child = Some(child);
+        let mut command = Command::new(self.options.binaries.join("apricotrund"));
+        command.arg("--config").arg(&daemon.settings).stderr(log);
+        daemon.child = Some(start_process(&mut command)?);
         Ok(())
     }
 
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -2,11 +2,13 @@
 
 use rocket::config::{Config, LogLevel, Shutdown};
 use rocket::{Build, Rocket};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::ops::Range;
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
@@ -88,6 +90,20 @@
 /// The number of ports that this process has tried so far, free or not.
 static TRIED_PORTS: AtomicU16 = AtomicU16::new(0);
 
+/// Read while processes are started and written while ports are tried: a process that has been forked and
+/// does not run its program yet holds the sockets of the attempts, and the ports seem occupied.
+static FORKS: RwLock<()> = RwLock::new(());
+
+/// Starts a process.
+///
+/// # Errors
+///
+/// Returns an error when the program cannot be run.
+pub fn start_process(command: &mut Command) -> io::Result<Child> {
+    let _forks = FORKS.read().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Returns the loopback address of this process, which is derived from its process id. Outgoing
 /// connections use 127.0.0.1, so their ports never conflict with a listener on this address.
 pub fn process_loopback() -> Ipv4Addr {
@@ -103,6 +119,7 @@
     if address.port() != 0 {
         return address;
     }
+    let _forks = FORKS.write().unwrap_or_else(PoisonError::into_inner);
     for _ in PORTS {
         let number = TRIED_PORTS.fetch_add(1, Ordering::Relaxed);
         let port = PORTS.start + number % (PORTS.end - PORTS.start);
