Log where a stream stood when it was cut off

The record of the incident cannot tell whether a stream that ended early around a stop was cut with the process, given up while its upstream was silent, or had been sent by its upstream and not taken by its caller: the end of the process logged three counts, and a stream that was given up before looked like any refused request.

The requests in flight are now kept in a table with the progress of each. The end of the process names them, a stream that is cut off while the process runs has a line and a counter (apricotrun_cut_streams_total), and the last line says by how much the exit was later than planned. Both lines carry the events received and sent, the silence of the upstream, and whether it was done.

No decision changes.

--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
     answers_due: Instant,
+    began: Instant,
     exit: Instant,
     last_answers: Instant,
 }
@@ -32,6 +33,7 @@
         let before_exit = |margin| now + left.saturating_sub(margin);
         Self {
             answers_due: before_exit(ANSWER_MARGIN),
+            began: now,
             exit: now + left,
             last_answers: before_exit(LAST_MARGIN),
         }
@@ -42,6 +44,11 @@
         self.answers_due
     }
 
+    /// Returns when the stop began.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// Returns when the process exits, whatever is in flight.
     pub fn exit(&self) -> Instant {
         self.exit
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -9,6 +9,7 @@
 use crate::transport::gateway::dialect::{
     InboundHead, OutboundHead, ResponseHead, ResponseKind, UpstreamStep,
 };
+use crate::transport::gateway::in_flight::RequestProgress;
 use crate::transport::gateway::lifetimes::FirstWriter;
 use crate::transport::gateway::relay::RelayOutcome;
 use crate::transport::gateway::reply::drop_connection_headers;
@@ -104,6 +105,7 @@
     /// The prefill result that no decode worker has fetched yet.
     prefill_result: Mutex<Option<PrefillResult>>,
     kind: RouteKind,
+    progress: RequestProgress,
     response: Mutex<Option<UpstreamResponse>>,
     request: InboundRequest,
     service: ServiceName,
@@ -123,6 +125,7 @@
         service: ServiceName,
         request: InboundRequest,
         urgency: Option<UrgencyRank>,
+        progress: RequestProgress,
     ) -> Self {
         let window = Arc::new(StreamWindow::new(gateway.stream_window));
         Self {
@@ -132,6 +135,7 @@
             gateway,
             prefill_result: Mutex::new(None),
             kind,
+            progress,
             response: Mutex::new(None),
             request,
             service,
@@ -431,6 +435,7 @@
                 if events.send(token).await.is_err() {
                     return Err(UpstreamFailure::Broken);
                 }
+                self.progress.record_event(clock.now());
                 self.has_relayed.store(true, Ordering::Relaxed);
             }
         }
@@ -440,6 +445,7 @@
             return Err(self.broken_stream());
         }
         self.end_response(framed, wrote_event, connection, head).await?;
+        self.progress.record_upstream_end();
         let end = if framed { "framed" } else { "connection" };
         counter!("apricotrun_stream_ends_total", "end" => end).increment(1);
         Ok(FlowEvent::RunEnded(attempt.clone(), last))
--- a/src/transport/gateway/frontend.rs
+++ b/src/transport/gateway/frontend.rs
@@ -7,6 +7,7 @@
 use crate::transport::gateway::ends::{CallerStream, EndMarker};
 use crate::transport::gateway::forward::InboundRequest;
 use crate::transport::gateway::heads::{HeadTimer, TimedStream};
+use crate::transport::gateway::in_flight::InFlightGuard;
 use crate::transport::gateway::relay::{RELAYED, is_ahead, refuse_relayed};
 use crate::transport::gateway::reply::{
     ResponseBody, drop_connection_headers, refusal_response, text_response,
@@ -21,7 +22,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use metrics::{counter, gauge};
+use metrics::counter;
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -155,7 +156,7 @@
             Refusal::not_run(RefusalReason::NoConfiguration).with_retry_after(CONFIG_RETRY_AFTER);
         return refusal_response(&refusal);
     };
-    let guard = state.track_request();
+    let guard = state.in_flight.track();
     let node = gateway.node.clone();
     let response = tokio::select! {
         response = serve_request(gateway, request, guard) => response,
@@ -178,37 +179,6 @@
     refusal_response(&refusal.with_verdict(verdict))
 }
 
-/// Counts a request as in flight until its response is complete.
-pub struct InFlightGuard {
-    begun: bool,
-    state: Arc<GatewayState>,
-}
-
-impl InFlightGuard {
-    /// Counts a request as in flight.
-    pub fn new(state: Arc<GatewayState>) -> Self {
-        state.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { begun: false, state }
-    }
-
-    /// Counts the request as a stream of which the caller is sent a part.
-    pub fn begin_stream(&mut self) {
-        if !std::mem::replace(&mut self.begun, true) {
-            self.state.streams.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        if self.begun {
-            self.state.streams.fetch_sub(1, Ordering::Relaxed);
-        }
-        let left = self.state.in_flight.fetch_sub(1, Ordering::Relaxed) - 1;
-        gauge!("apricotrun_requests_in_flight").set(left as f64);
-    }
-}
-
 async fn serve_request(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
@@ -243,6 +213,7 @@
         Ok(identity) => identity,
         Err(response) => return *response,
     };
+    guard.progress().record_id(&head.request_id);
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(RESPONSE_MARGIN);
     let deadline = accepted + timeout.min(rule.timeout);
     let read = gateway.request_budget.read(body, routes.limits.max_body_bytes);
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod frontend;
 pub mod heads;
+pub mod in_flight;
 pub mod lifetimes;
 pub mod notices;
 pub mod paths;
--- a/src/transport/gateway/reply.rs
+++ b/src/transport/gateway/reply.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 use crate::transport::gateway::bodies::BodyReservation;
 use crate::transport::gateway::channels::UpstreamExchange;
+use crate::transport::gateway::in_flight::RequestProgress;
 use crate::transport::gateway::window::StreamWindow;
 use crate::transport::requests::ResponsePart;
 use bytes::Bytes;
@@ -55,6 +56,8 @@
         on_end: Option<CompletionHook>,
         /// The later events.
         parts: Receiver<ResponsePart>,
+        /// Counts the events that the connection has taken.
+        progress: RequestProgress,
         /// Bounds what is held of the stream.
         window: Arc<StreamWindow>,
     },
@@ -97,13 +100,14 @@
                 let chunk = bytes.split_to(bytes.len().min(CHUNK_BYTES));
                 Poll::Ready((!chunk.is_empty()).then(|| Ok(Frame::data(chunk))))
             }
-            Self::Events { first, on_end, parts, window } => {
+            Self::Events { first, on_end, parts, progress, window } => {
                 let frame = match first.take() {
                     Some(text) => Poll::Ready(Some(Ok(Frame::data(text.into())))),
                     None => poll_events(on_end, parts, context),
                 };
                 if let Poll::Ready(Some(Ok(frame))) = &frame {
                     window.release(frame.data_ref().map_or(0, Bytes::len));
+                    progress.record_sent();
                 }
                 frame
             }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -6,7 +6,7 @@
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::gateway::dialect::InboundHead;
 use crate::transport::gateway::forward::{ForwardExecutor, InboundRequest, UpstreamResponse};
-use crate::transport::gateway::frontend::InFlightGuard;
+use crate::transport::gateway::in_flight::InFlightGuard;
 use crate::transport::gateway::relay::{RelayOutcome, refuse_relayed};
 use crate::transport::gateway::reply::{
     ResponseBody, ResponseOutcome, drop_connection_headers, refusal_response, request_task_lost,
@@ -75,6 +75,25 @@
         }
     }
 
+    /// Logs what is needed to tell why a stream was cut off that had begun.
+    fn log_cut(&self, refusal: &Refusal) {
+        let now = self.node.clock.now();
+        let stop = *self.node.stop.borrow();
+        let stopping = stop.map(|plan| now.saturating_duration_since(plan.began()));
+        let report = self.guard.progress().report(now);
+        counter!("apricotrun_cut_streams_total", "stopping" => stop.is_some().to_string())
+            .increment(1);
+        if self.node.log_limiter.permits(DecisionKind::Cut) {
+            log::info!(
+                request = self.request_id.as_str(), reason:? = refusal.reason,
+                received = report.received, sent = report.sent,
+                silent_ms = report.silent_ms(), upstream_done = report.upstream_done,
+                stopping_ms = stopping.map_or(-1, |time| time.as_millis() as i64);
+                "entry: a stream was cut off"
+            );
+        }
+    }
+
     fn finish(mut self, outcome: ResponseOutcome) {
         if matches!(outcome, ResponseOutcome::Refused(refusal) if refusal.verdict == Verdict::NotRun)
         {
@@ -93,6 +112,11 @@
             let verdict = verdict.as_str();
             counter!("apricotrun_stop_refusals_total", "verdict" => verdict).increment(1);
         }
+        if let ResponseOutcome::Refused(refusal) = outcome
+            && self.guard.progress().has_begun()
+        {
+            self.log_cut(&refusal);
+        }
         if !self.node.log_limiter.permits(kind) {
             return;
         }
@@ -166,6 +190,7 @@
             service.clone(),
             self.inbound,
             urgency,
+            self.guard.progress().clone(),
         );
         let executor = Arc::new(executor);
         let parts =
@@ -337,12 +362,13 @@
         match parts.recv().await {
             Some(ResponsePart::Opened | ResponsePart::Response(_)) => {}
             Some(ResponsePart::Text(text)) => {
-                log.guard.begin_stream();
+                let progress = log.guard.progress().clone();
                 let on_end = Box::new(move |outcome| log.finish(outcome));
                 let body = ResponseBody::Events {
                     on_end: Some(on_end),
                     first: Some(text),
                     parts,
+                    progress,
                     window: executor.window(),
                 };
                 return build_response(executor.response(), body);
@@ -387,7 +413,7 @@
 }
 
 /// Returns the response to a request that was passed on to another host.
-fn finish_relayed(outcome: RelayOutcome, mut log: ResponseLog) -> Response<ResponseBody> {
+fn finish_relayed(outcome: RelayOutcome, log: ResponseLog) -> Response<ResponseBody> {
     let mut exchange = match outcome {
         RelayOutcome::Response(exchange) => exchange,
         RelayOutcome::Lost(refusal) => {
@@ -399,7 +425,7 @@
     let (status, mut headers) =
         (exchange.response.status(), std::mem::take(exchange.response.headers_mut()));
     drop_connection_headers(&mut headers);
-    log.guard.begin_stream();
+    log.guard.progress().record_sent();
     let on_end = Box::new(move |outcome| log.finish(outcome));
     let mut response = Response::new(ResponseBody::Relayed { exchange, on_end: Some(on_end) });
     *response.status_mut() = status;
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -19,7 +19,8 @@
 use crate::transport::gateway::channels::ConnectionPool;
 use crate::transport::gateway::dialect::GatewayDialect;
 use crate::transport::gateway::directory::{DirectorySource, retry_until_ok, watch_directory};
-use crate::transport::gateway::frontend::{InFlightGuard, serve_callers};
+use crate::transport::gateway::frontend::serve_callers;
+use crate::transport::gateway::in_flight::{InFlightTable, ProgressReport};
 use crate::transport::gateway::paths::{PathWatch, probe_paths};
 use crate::transport::gateway::probes::{
     DRAIN_PERIOD, drain_samples, install_recorder, serve_probes,
@@ -52,6 +53,8 @@
 /// The interval at which idle connections are pruned and readiness is checked; a tenth of it before
 /// the daemon is ready.
 const PRUNE_PERIOD: Duration = Duration::from_secs(1);
+/// The largest number of requests that the log names when they are cut off with the process.
+const MAX_CUT_LINES: usize = 200;
 /// The account of all callers in a deployment without accounts.
 const DEFAULT_ACCOUNT: &str = "callers";
 
@@ -193,10 +196,8 @@
     pub clock: Arc<dyn Clock>,
     /// The number of open connections of callers.
     pub connections: AtomicUsize,
-    /// The number of requests whose responses are not complete.
-    pub in_flight: AtomicUsize,
-    /// The number of streams among them of which the caller is sent a part.
-    pub streams: AtomicUsize,
+    /// The requests whose responses are not complete.
+    pub in_flight: Arc<InFlightTable>,
     /// Becomes true when the daemon begins to stop.
     pub stopping: watch::Sender<bool>,
     gateway: OnceLock<Arc<Gateway>>,
@@ -209,8 +210,7 @@
             clock,
             connections: AtomicUsize::new(0),
             gateway: OnceLock::new(),
-            in_flight: AtomicUsize::new(0),
-            streams: AtomicUsize::new(0),
+            in_flight: Arc::default(),
             ready: AtomicBool::new(false),
             stopping: watch::Sender::new(false),
         }
@@ -221,11 +221,6 @@
         self.gateway.get().cloned()
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
-        InFlightGuard::new(self.clone())
-    }
-
     /// Returns the limits for callers that are in force.
     pub fn limits(&self) -> CallerLimits {
         let gateway = self.gateway.get();
@@ -284,7 +279,11 @@
     drain(&state, &settings, plan).await;
     frontend_task.abort();
     wait_for_requests(&state, plan).await;
-    log::info!(left = state.in_flight.load(Ordering::Relaxed); "daemon: stopped");
+    let late = state.clock.now().saturating_duration_since(plan.exit());
+    log::info!(
+        left = state.in_flight.len(), late_ms = late.as_millis() as u64;
+        "daemon: stopped"
+    );
     Ok(())
 }
 
@@ -333,25 +332,33 @@
 async fn wait_for_requests(state: &Arc<GatewayState>, plan: StopPlan) {
     let remaining = plan.exit().saturating_duration_since(state.clock.now());
     let waited = tokio::time::timeout(remaining, async {
-        let has_requests = || {
-            state.in_flight.load(Ordering::Relaxed) > 0
-                || state.connections.load(Ordering::Relaxed) > 0
-        };
+        let has_requests =
+            || !state.in_flight.is_empty() || state.connections.load(Ordering::Relaxed) > 0;
         while has_requests() {
             tokio::time::sleep(DRAIN_POLL_PERIOD).await;
         }
     });
     if waited.await.is_err() {
-        let count = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
-        let (in_flight, streams) = (count(&state.in_flight), count(&state.streams));
+        let reports = state.in_flight.reports(state.clock.now());
+        let streams = reports.iter().filter(|report| report.sent > 0).count();
+        let connections = state.connections.load(Ordering::Relaxed);
         log::warn!(
-            streams, unanswered = in_flight.saturating_sub(streams),
-            others = count(&state.connections).saturating_sub(in_flight);
+            streams, unanswered = reports.len() - streams,
+            others = connections.saturating_sub(reports.len());
             "daemon: requests are cut off at the end of the grace"
         );
+        reports.iter().take(MAX_CUT_LINES).for_each(log_cut_at_exit);
     }
 }
 
+fn log_cut_at_exit(report: &ProgressReport) {
+    log::warn!(
+        request = report.request_id.as_str(), received = report.received, sent = report.sent,
+        silent_ms = report.silent_ms(), upstream_done = report.upstream_done;
+        "entry: cut off by the end of the process"
+    );
+}
+
 async fn start(setup: GatewaySetup, state: Arc<GatewayState>, peers: TcpListener) -> CliResult<()> {
     let GatewaySetup { dialect, roles, settings, source, store, .. } = setup;
     let register = || source.register(&settings.host, settings.peer, None);
--- a/src/transport/log_limiter.rs
+++ b/src/transport/log_limiter.rs
@@ -29,6 +29,8 @@
     Answered,
     /// The caller disconnected before the end of the response.
     CallerLeft,
+    /// A stream that had begun ended early.
+    Cut,
     /// The first output token arrived.
     FirstToken,
     /// A request was granted slots at upstreams.
@@ -55,7 +57,9 @@
             | Self::Granted
             | Self::Leaving
             | Self::Members => ROUTINE_LINES,
-            Self::CallerLeft | Self::Lost | Self::Refused | Self::Unserved => FAILURE_LINES,
+            Self::CallerLeft | Self::Cut | Self::Lost | Self::Refused | Self::Unserved => {
+                FAILURE_LINES
+            }
         }
     }
 }
