Keep a silent run of a stream until another upstream is granted

What callers saw: a stream of which they had a part was cut off after 1.5 s without an event, although its worker was alive and at work, at a stop as at any time.

Cause: an attempt that stalled was ended first, and only then was another upstream asked for. If the route allowed no further run, the retry budget was spent, no other upstream ran the version of the stream or none had room, the refusal cut the stream off. Class: something that may still succeed is given up for a replacement that is not certain.

Why the fix works: once a caller has events, the run goes on while the owners are asked for another upstream without queueing, and only a grant ends it. Without a further run it is waited for until the deadline. A request whose caller has nothing is treated as before: its outcome is a whole answer, so it is given at once. No message changes: the search is an admission request under the number of the next attempt.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 
 /// The maximum number of attempts per request.
-const MAX_ATTEMPTS: u32 = 5;
+pub(super) const MAX_ATTEMPTS: u32 = 5;
 /// The minimum time without progress after which an attempt counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The fraction of a prefill result's retention time after which its transfer counts as stalled.
@@ -84,6 +84,7 @@
             cached_prefill,
             stall_deadline,
             next_report,
+            replacement: None,
             running,
         };
         self.stage = FlowStage::Active(Box::new(active));
@@ -179,6 +180,7 @@
             return self.fail_attempt(now, attempt, broken, ReleaseOutcome::RunnerLost, out);
         }
         active.stall_deadline = due;
+        active.replacement = None;
         active.cached_prefill = None;
         let began = *active.first_token.get_or_insert(now);
         self.software.get_or_insert_with(|| active.grant.runner_software.clone());
@@ -224,6 +226,7 @@
             (&mut self.stage, self.attempt == attempt.attempt)
         {
             active.stall_deadline = due;
+            active.replacement = None;
         }
     }
 
@@ -273,8 +276,29 @@
         outcome: ReleaseOutcome,
         out: &mut Vec<FlowAction>,
     ) {
+        if !self.end_attempt(now, attempt, failure, outcome, out) {
+            return;
+        }
+        if failure == UpstreamFailure::Unread {
+            return self.refuse(Refusal::not_run(RefusalReason::CallerTooSlow), out);
+        }
+        self.retry_elsewhere(now, was_received(failure), out);
+    }
+
+    /// Aborts the current attempt after an upstream failed it, and returns whether it was the current
+    /// one.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Instant,
+        attempt: &AttemptId,
+        failure: UpstreamFailure,
+        outcome: ReleaseOutcome,
+        out: &mut Vec<FlowAction>,
+    ) -> bool {
         let matches_attempt = self.is_current(attempt);
-        let (FlowStage::Active(active), true) = (&self.stage, matches_attempt) else { return };
+        let (FlowStage::Active(active), true) = (&self.stage, matches_attempt) else {
+            return false;
+        };
         let claim = active.grant.claim.clone();
         // A decode worker whose connection ended may have fetched the prefill result already; the
         // prefill worker then no longer holds it.
@@ -284,8 +308,7 @@
         let reuses_prefill = self.usable_prefill(now).is_some();
         let no_token = active.first_token.is_none();
         let is_sound = active.first_token.is_some_and(|first| now >= first + SOUND_OUTPUT_TIME);
-        let not_sent = matches!(failure, UpstreamFailure::NothingSent | UpstreamFailure::Withheld);
-        let not_executed = not_sent || failure == UpstreamFailure::Full;
+        let not_executed = !was_received(failure) || failure == UpstreamFailure::Full;
         let may_have_executed = active.running && !not_executed;
         let failed_upstream = match (outcome, &claim.prefill) {
             (ReleaseOutcome::PrefillLost, Some(prefill)) => prefill.clone(),
@@ -316,11 +339,10 @@
             };
             out.push(FlowAction::ReportCrash(report));
         }
-        if failure == UpstreamFailure::Unread {
-            return self.refuse(Refusal::not_run(RefusalReason::CallerTooSlow), out);
+        if failure != UpstreamFailure::Unread {
+            self.avoid.push(failed_upstream);
         }
-        self.avoid.push(failed_upstream);
-        self.retry_elsewhere(now, !not_sent, out);
+        true
     }
 
     /// Requests admission to other upstreams, or refuses the request when a limit forbids another
@@ -337,13 +359,18 @@
             let refusal = Refusal::not_run(RefusalReason::UpstreamFailed);
             return self.refuse(refusal.with_retry_after(RETRY_AFTER), out);
         }
-        if received && !self.spec.retries.try_acquire(now) {
+        if received && !self.take_retry(now) {
             let refusal = Refusal::not_run(RefusalReason::RetriesSpent);
             return self.refuse(refusal.with_retry_after(RETRY_AFTER), out);
         }
         self.request_admission(now, out);
     }
 
+    /// Takes a retry from the budget, unless one is held that was not made.
+    fn take_retry(&mut self, now: Instant) -> bool {
+        std::mem::take(&mut self.holds_retry) || self.spec.retries.try_acquire(now)
+    }
+
     /// Aborts the current attempt at every upstream where it may still run.
     pub(super) fn abort(
         &mut self,
@@ -364,3 +391,8 @@
         });
     }
 }
+
+/// Returns whether an upstream that failed in this way may have received the request.
+fn was_received(failure: UpstreamFailure) -> bool {
+    !matches!(failure, UpstreamFailure::NothingSent | UpstreamFailure::Withheld)
+}
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -194,6 +194,12 @@
         /// Whether it occurred during the run rather than during the prefill.
         running: bool,
     },
+    /// Log that the upstream of a stream that has begun is silent.
+    UpstreamSilent {
+        /// Whether another upstream is sought. Otherwise no further run is allowed, and the silent one is
+        /// waited for.
+        may_move: bool,
+    },
     /// Close the attempt's connections and release its claim. If the outcome is
     /// [`ReleaseOutcome::Cancelled`], cancel the attempt at the upstreams first, and release it as
     /// [`ReleaseOutcome::Unconfirmed`] unless all of them confirm.
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod events;
+mod silence;
 
 pub use events::{
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
@@ -15,6 +16,7 @@
 use crate::coordination::messages::{AdmissionRequest, GrantMessage, ReleaseOutcome, ShardMessage};
 use crate::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
 use crate::prelude::*;
+use silence::ReplacementSearch;
 use std::collections::BTreeSet;
 
 /// The time without a reply from a shard owner after which an admission request is sent again.
@@ -57,6 +59,8 @@
     stall_deadline: Instant,
     /// When progress is next reported to the owner.
     next_report: Instant,
+    /// The search for an upstream that takes over while this one is silent.
+    replacement: Option<ReplacementSearch>,
     /// Whether the decode worker or plain upstream has been called.
     running: bool,
 }
@@ -96,6 +100,8 @@
 pub struct RequestFlow {
     /// The number of the current attempt, from 1.
     attempt: u32,
+    /// The highest number of an attempt for which upstreams were requested.
+    last_attempt: u32,
     /// The upstreams that failed or rejected an attempt of this request.
     avoid: Vec<UpstreamName>,
     /// The sum of the crash weights recorded for requests with the same fingerprint.
@@ -117,6 +123,10 @@
     started: Instant,
     /// The number of attempts that were granted upstreams.
     attempts_started: u32,
+    /// Whether a retry has been taken from the budget that has not been made.
+    holds_retry: bool,
+    /// Whether [`FlowAction::UpstreamSilent`] has been returned for this attempt.
+    silence_reported: bool,
     /// Whether the request is suspected of crashing its upstreams.
     suspect: bool,
     /// Whether an upstream may have executed the request, which a refusal has to report.
@@ -133,6 +143,7 @@
         let crash_weight = spec.crash_weight;
         Self {
             attempt: 0,
+            last_attempt: 0,
             avoid: spec.avoid.clone(),
             crash_weight,
             domain_index: 0,
@@ -150,6 +161,8 @@
             },
             started: now,
             attempts_started: 0,
+            holds_retry: false,
+            silence_reported: false,
             suspect: crash_weight > 0,
             may_have_run: false,
             stop: None,
@@ -213,7 +226,10 @@
                 ..
             } => (*next_send).min(*next_probe),
             FlowStage::Admission { next_send, .. } => *next_send,
-            FlowStage::Active(active) => active.stall_deadline,
+            FlowStage::Active(active) => match &active.replacement {
+                Some(search) => search.next_send,
+                None => active.stall_deadline,
+            },
             FlowStage::Ended => return None,
         };
         let step = step.min(self.spec.deadline);
@@ -273,7 +289,8 @@
         if self.end_for_stop(now, out) {
             return;
         }
-        self.attempt += 1;
+        self.last_attempt += 1;
+        self.attempt = self.last_attempt;
         self.domain_index = 0;
         if self.spec.domains.len() == 1 {
             return self.queue_locally(now, out);
@@ -321,6 +338,21 @@
         fail_fast: bool,
         out: &mut Vec<FlowAction>,
     ) {
+        let (attempt, avoid) = (self.current_attempt(), self.avoid.clone());
+        let request = self.build_admission_request(now, fail_fast, attempt, avoid);
+        out.push(FlowAction::Send(
+            self.spec.domains[domain].clone(),
+            ShardMessage::RequestAdmission(request),
+        ));
+    }
+
+    fn build_admission_request(
+        &self,
+        now: Instant,
+        fail_fast: bool,
+        attempt: AttemptId,
+        avoid: Vec<UpstreamName>,
+    ) -> AdmissionRequest {
         // Once an attempt was made, or the caller has a part of the stream, the request is completed
         // even if its first token is late.
         let first_token_due = match (self.attempts_started, self.spec.first_index) {
@@ -328,13 +360,13 @@
             _ => self.spec.deadline,
         };
         let produced = self.next_token.saturating_mul(self.spec.tokens_per_index);
-        let request = AdmissionRequest {
+        AdmissionRequest {
             account: self.spec.account.clone(),
             expected_output: Tokens(self.spec.expected_output.0.saturating_sub(produced)),
             fail_fast,
-            attempt: self.current_attempt(),
+            attempt,
             fingerprint: self.spec.fingerprint,
-            avoid: self.avoid.clone(),
+            avoid,
             first_token_within: first_token_due.saturating_duration_since(now),
             max_output: Tokens(self.spec.max_output.0.saturating_sub(produced)),
             prefilled: self.usable_prefill(now).is_some(),
@@ -346,11 +378,7 @@
             suspect: self.suspect,
             urgency: self.spec.urgency,
             waited: now.saturating_duration_since(self.started),
-        };
-        out.push(FlowAction::Send(
-            self.spec.domains[domain].clone(),
-            ShardMessage::RequestAdmission(request),
-        ));
+        }
     }
 
     fn resend_admission_request(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
@@ -378,6 +406,7 @@
         message: ShardMessage,
         out: &mut Vec<FlowAction>,
     ) {
+        let Some(message) = self.handle_search_message(now, &domain, message, out) else { return };
         match message {
             ShardMessage::Grant(grant) => self.handle_grant(now, domain, grant, out),
             ShardMessage::Queued(attempt) if self.is_current(&attempt) => {
@@ -630,15 +659,8 @@
                 *next_send = now + if *acknowledged { QUEUED_RETRY } else { ADMISSION_RETRY };
                 self.send_admission_request(now, self.domain_index, false, out);
             }
-            FlowStage::Active(active) if active.stall_deadline <= now => {
-                let attempt = active.grant.claim.attempt.clone();
-                let outcome = match active.running {
-                    true => ReleaseOutcome::RunnerLost,
-                    false => ReleaseOutcome::PrefillLost,
-                };
-                self.fail_attempt(now, &attempt, UpstreamFailure::Stalled, outcome, out);
-            }
-            FlowStage::Active(_) | FlowStage::Ended => {}
+            FlowStage::Active(_) => self.handle_silence(now, out),
+            FlowStage::Ended => {}
         }
     }
 }
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -219,6 +219,7 @@
                 release_claim(&self.node, &self.service, &domain, attempt, outcome);
             }
             FlowAction::AttemptFailed { failure, running } => self.log_failure(failure, running),
+            FlowAction::UpstreamSilent { may_move } => self.log_silence(may_move),
             FlowAction::Abort { domain, attempt, reuses_prefill, upstreams, outcome } => {
                 self.stop_task();
                 self.count_wasted_prefill(reuses_prefill);
@@ -334,6 +335,18 @@
         }
     }
 
+    fn log_silence(&self, may_move: bool) {
+        counter!("apricotrun_silent_runs_total").increment(1);
+        if self.node.log_limiter.permits(DecisionKind::Lost) {
+            log::info!(
+                request = self.request_id.as_str(), may_move, tokens = self.flow.tokens(),
+                runner = self.claim.as_ref().map_or("", |claim| claim.runner.as_str()),
+                age_ms = self.age_ms();
+                "entry: an upstream is silent in a stream"
+            );
+        }
+    }
+
     fn log_crash(&self, report: &CrashReport) {
         if self.node.log_limiter.permits(DecisionKind::Lost) {
             log::info!(
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -397,7 +397,8 @@
             FlowAction::Emit(_) | FlowAction::OpenResponse | FlowAction::Dropped => {}
             FlowAction::AttemptFailed { .. }
             | FlowAction::ReportCrash(_)
-            | FlowAction::ReportOutput { .. } => {}
+            | FlowAction::ReportOutput { .. }
+            | FlowAction::UpstreamSilent { .. } => {}
         }
     }
 
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -633,6 +633,56 @@
     );
 }
 
+/// Guards against a stream that is cut off for the silence of its upstream, which may go on: no other
+/// upstream has room, or no further run is allowed.
+#[test]
+fn silent_run_is_kept_until_another_upstream_is_granted() {
+    let silent = |max_runs| {
+        let mut harness = FlowHarness::new(|spec| {
+            spec.stall_limit = Some(MILLI * 1_500);
+            spec.max_runs = max_runs;
+        });
+        harness.start_decoding();
+        harness.valid_token(1, 0);
+        let actions = harness.advance_time(MILLI * 1_500);
+        (harness, actions)
+    };
+    let (mut last, actions) = silent(1);
+    assert_eq!(actions, [FlowAction::UpstreamSilent { may_move: false }]);
+    assert_eq!(last.advance_time(SECOND * 10), []);
+    assert_eq!(emitted(&last.valid_token(1, 1)), ["t1"]);
+
+    let (mut refused, actions) = silent(2);
+    assert_eq!(admission_requests(&actions), [(refused.local_domain.clone(), attempt(2), false)]);
+    let refusal = Refusal::not_run(RefusalReason::NoUpstream);
+    let next = refused.owner_message(ShardMessage::Refuse(attempt(2), refusal));
+    assert_eq!(admission_requests(&next).len(), 1, "the next failure domain is asked");
+    for _ in 0..2 {
+        assert!(!is_aborted(&refused.advance_time(MILLI * 60)));
+    }
+    let again = refused.advance_time(MILLI * 250);
+    assert_eq!(admission_requests(&again), [(refused.local_domain.clone(), attempt(3), false)]);
+    assert_eq!(emitted(&refused.valid_token(1, 1)), ["t1"]);
+    let late = refused.grant(3, "d1", ClaimPhase::Run);
+    assert!(!is_aborted(&late) && matches!(late[..], [FlowAction::Send(..)]), "{late:?}");
+    refused.handle(FlowEvent::RunEnded(attempt(1), 2));
+    assert!(refused.flow.is_ended());
+
+    let (mut moved, _) = silent(2);
+    let actions = moved.grant(2, "d1", ClaimPhase::Run);
+    assert!(is_aborted(&actions) && started_run(&actions), "{actions:?}");
+    assert_eq!(emitted(&moved.valid_token(2, 1)), ["t1"]);
+    assert_eq!(emitted(&moved.valid_token(1, 1)), [""; 0], "the run that was given up");
+}
+
+fn is_aborted(actions: &[FlowAction]) -> bool {
+    actions.iter().any(|action| matches!(action, FlowAction::Abort { .. }))
+}
+
+fn started_run(actions: &[FlowAction]) -> bool {
+    actions.iter().any(|action| matches!(action, FlowAction::StartRun { from: 1, .. }))
+}
+
 fn grant_at(number: u32, runner: &str, software: &str) -> ShardMessage {
     let runner_software = software.parse().expect("valid version");
     ShardMessage::Grant(GrantMessage {
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -290,6 +290,7 @@
             }
             FlowAction::OpenResponse
             | FlowAction::AttemptFailed { .. }
+            | FlowAction::UpstreamSilent { .. }
             | FlowAction::ReportCrash(_)
             | FlowAction::ReportOutput { .. }
             | FlowAction::Dropped => {}
