Decide by measured pace which streams a stopping host still takes

What callers saw: streams that came late in the grace of a planned stop were begun and cut off with the process, at 7.7 s of 8.

Cause: whether a stream ends in time was decided by the time of a token in the engines' data sheet (0.7 ms) and by the length that its caller expects. Engines under load write more slowly, and an expected length is often far too low. Class: a limit is kept by an estimate for the usual case, where only a bound can keep it.

Why the fix works: the host keeps the slowest start and the slowest time of a token of the last 30 to 60 s for each service, of streams that their callers read as they came. Without any, a stream counts as one as slow as its route allows. A request that comes after the signal is taken only if all the tokens that it may ask for fit, as it loses 200 ms elsewhere; for one that was waiting before, the expected length counts, since a refusal would cost it its place. What an upstream writes over the limit of a request counts as time of the tokens that were allowed.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,5 +24,6 @@
 pub mod stops;
 pub mod store;
 pub mod stream_origins;
+pub mod stream_times;
 pub mod tickets;
 pub mod upstream_lifetimes;
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -284,6 +284,33 @@
         identity.map_or(&self.gateway.account, |identity| &identity.account.name).clone()
     }
 
+    /// Returns how long the request is expected to take, by the slowest streams of late. Without any,
+    /// a stream is taken to come as slowly as its route allows. A request that comes during a stop goes
+    /// elsewhere at little cost, so its whole limit counts; one that came before would lose its place.
+    fn estimate_work(
+        &self,
+        template: &ServiceTemplate,
+        expected_output: Tokens,
+        max_output: Tokens,
+    ) -> Duration {
+        let (target, node) = (self.rule.latency_target, &self.gateway.node);
+        if !self.rule.kind.is_stream() {
+            return expected_work(target, Tokens(0), Duration::ZERO);
+        }
+        if max_output == Tokens(0) {
+            // Its caller has named no length.
+            return self.deadline.saturating_duration_since(self.accepted);
+        }
+        let output = if node.stop.borrow().is_some() { max_output } else { expected_output };
+        if let Some(slowest) = lock(&node.stream_times).slowest(self.accepted, &template.service) {
+            return expected_work(target.max(slowest.start), output, slowest.token);
+        }
+        let engine = self.routes.services.get(&template.service).and_then(|known| known.engine);
+        let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+        let gap = self.rule.inter_event_target.map(|gap| gap / tokens_per_event);
+        expected_work(target, output, gap.or(template.token_time).unwrap_or_default())
+    }
+
     fn build_spec(
         &self,
         service: &ServiceName,
@@ -300,8 +327,6 @@
         let max_output = shape.map_or(Tokens(0), |shape| shape.max_output);
         let expected_output =
             shape.and_then(|shape| shape.length_hint).unwrap_or(max_output).min(max_output);
-        let token_time = template.token_time.or(self.rule.inter_event_target);
-        let token_time = token_time.filter(|_| self.rule.kind.is_stream()).unwrap_or_default();
         let path = self.inbound.uri.path().as_bytes();
         let prompt_hash = shape.and_then(|shape| shape.prefix.last()).copied().unwrap_or_default();
         let fingerprint = Fingerprint::of(&[
@@ -319,7 +344,7 @@
             account: self.account(),
             avoid,
             expected_output,
-            expected_work: expected_work(self.rule.latency_target, expected_output, token_time),
+            expected_work: self.estimate_work(template, expected_output, max_output),
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
             crash_weight,
             deadline: self.deadline,
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -6,6 +6,7 @@
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
 };
+use crate::coordination::stream_times::StreamSample;
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
 use crate::transport::claims::release_claim;
@@ -92,8 +93,10 @@
     };
     let sequence = spec.id.sequence;
     let prompt = spec.prompt;
+    let (max_output, tokens_per_event) = (spec.max_output, spec.tokens_per_index);
     let driver = RequestDriver {
         accepted: now,
+        caller_behind: false,
         claim: None,
         deadline: spec.deadline,
         origin_lifetime: spec.origin_lifetime,
@@ -102,6 +105,7 @@
         request_id: request_id.to_owned(),
         latency,
         delivery_failed: false,
+        max_output,
         node: node.clone(),
         parts,
         prefilled: false,
@@ -109,6 +113,7 @@
         service,
         software: SoftwareVersion::default(),
         task: None,
+        tokens_per_event,
         trace,
         executor,
     };
@@ -123,6 +128,8 @@
 /// The event loop of one request.
 struct RequestDriver {
     accepted: Instant,
+    /// Whether the caller has ever kept the upstream waiting.
+    caller_behind: bool,
     /// The slot claim of the latest attempt; `None` before the first grant.
     claim: Option<SlotClaim>,
     /// The sender of events for the tasks that call upstreams. It has a limit, as upstreams decide how
@@ -135,6 +142,7 @@
     latency: LatencyRecord,
     /// Whether a part could not be delivered, because the caller disconnected or stopped reading.
     delivery_failed: bool,
+    max_output: Tokens,
     node: Arc<DaemonNode>,
     origin_lifetime: Option<Duration>,
     parts: Sender<ResponsePart>,
@@ -144,6 +152,7 @@
     /// The software version of the upstream that runs the latest attempt.
     software: SoftwareVersion,
     task: Option<AbortHandle>,
+    tokens_per_event: u32,
     trace: Box<dyn RequestTrace>,
     executor: Arc<dyn UpstreamExecutor>,
 }
@@ -161,6 +170,7 @@
         let mut next = plan.map(|_| FlowEvent::Start);
         loop {
             let now = self.node.clock.now();
+            self.caller_behind |= matches!(event, FlowEvent::CallerBehind(_));
             let actions = self.flow.handle(now, event);
             for action in actions {
                 self.execute(action).await;
@@ -482,7 +492,27 @@
         self.task = Some(task.abort_handle());
     }
 
+    /// Records the times of a stream, unless its caller has delayed it.
+    fn record_times(&self) {
+        let latency = &self.latency;
+        let (Some(first), Some(last)) = (latency.first_token, latency.last_token) else { return };
+        if self.caller_behind {
+            return;
+        }
+        let events = self.flow.tokens();
+        let written = Tokens(events.saturating_mul(self.tokens_per_event));
+        let allowed = if self.max_output == Tokens(0) { written } else { self.max_output };
+        let sample = StreamSample {
+            events,
+            start: first - self.accepted,
+            tokens: written.min(allowed),
+            writing: last - first,
+        };
+        lock(&self.node.stream_times).record(self.node.clock.now(), &self.service, &sample);
+    }
+
     async fn finish(&mut self) {
+        self.record_times();
         let response = self.executor.take_response();
         let tokens = self.flow.tokens();
         let service = self.service.to_string();
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -1,6 +1,7 @@
 //! Tests of what a host that stops may still take.
 
 use apricotrun::coordination::stops::{StopPlan, expected_work};
+use apricotrun::coordination::stream_times::{SlowestTimes, StreamSample, StreamTimes};
 use apricotrun::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -38,3 +39,26 @@
     let none = StopPlan::new(now, Duration::ZERO);
     assert_eq!((none.answers_due(), none.exit()), (now, now));
 }
+
+#[test]
+fn slowest_streams_of_late_tell_how_long_a_stream_takes() {
+    let (now, service) = (Instant::now(), "llm".parse().expect("valid name"));
+    let mut times = StreamTimes::default();
+    let sample = |events, start, tokens, writing| StreamSample {
+        events,
+        start: MILLI * start,
+        tokens: Tokens(tokens),
+        writing: MILLI * writing,
+    };
+    let mut record = |at, sample| times.record(now + SECOND * at, &service, &sample);
+    record(0, sample(100, 300, 100, 5_000));
+    record(1, sample(100, 500, 100, 2_000));
+    // Its pause says nothing of the time of a token.
+    record(1, sample(2, 100, 2, 800));
+    let slowest = |at| times.slowest(now + SECOND * at, &service);
+    let expected = SlowestTimes { start: MILLI * 900, token: MILLI * 50 };
+    assert_eq!(slowest(2), Some(expected));
+    assert_eq!(slowest(59), Some(expected));
+    assert_eq!(slowest(60), None, "too old");
+    assert_eq!(times.slowest(now, &"other".parse().expect("valid name")), None);
+}
