Decide by the slowest calls of late which calls a stopping host still takes

The work of a call was one and a half times its target, whatever the calls of that service take.

Why the fix works: the times of whole answers are kept beside those of streams (response_times.rs), and the slowest of the last 30 to 60 s counts where it is longer. What was measured as the slowest needs no margin; the factor of one and a half moves into the estimate from targets, so `expected_work` now holds it. Calls of 3 s that are sent up to 4 s after the signal must be served as before.

--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -23,7 +23,7 @@
     pub account: AccountName,
     /// The expected length of the output.
     pub expected_output: Tokens,
-    /// The time that a run is expected to take, by which a host that stops decides whether to start it.
+    /// How long a slow run takes, by which a host that stops decides whether to start one.
     pub expected_work: Duration,
     /// The target for the time between two tokens; zero for calls that stream no tokens.
     pub inter_token_target: Duration,
--- a/src/coordination/stream_times.rs
+++ b/src/coordination/response_times.rs
@@ -1,22 +1,23 @@
-//! How long the streams of each service have lately taken at this host.
+//! How long the requests of each service have lately taken at this host.
 //!
-//! A host that stops decides by it which streams still end in time. Data sheets give the pace of an idle
-//! engine; under load a token takes several times as long. See docs/DESIGN.md, "Planned stop".
+//! A host that stops decides by it which requests still end in time. Latency targets and data sheets are
+//! met by an idle upstream; under load a response takes several times as long. See docs/DESIGN.md,
+//! "Planned stop".
 
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
-/// The time after which the slowest stream of a period is forgotten, twice.
+/// The time after which the slowest response of a period is forgotten, twice.
 const PERIOD: Duration = Duration::from_secs(30);
 /// Shorter streams say little about the time of a token.
 const MIN_PACED_EVENTS: u32 = 8;
 
-/// The times of one complete stream, whose caller read it as it came.
+/// The times of one complete response, whose caller read it as it came.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct StreamSample {
-    /// The number of its events.
+pub struct ResponseSample {
+    /// The number of its events; 0 unless it is a stream.
     pub events: u32,
-    /// The time from the acceptance of its request to its first event.
+    /// The time from the acceptance of its request to its first event, or to its end.
     pub start: Duration,
     /// The number of its tokens, at most as many as its request allowed: an upstream that writes more
     /// takes so much longer for each that was allowed.
@@ -25,23 +26,23 @@
     pub writing: Duration,
 }
 
-/// The slowest of several streams, part by part.
+/// The slowest of several responses, part by part.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SlowestTimes {
-    /// The time from the acceptance of a request to its first event.
+    /// The time from the acceptance of a request to its first event, or to the end of the response.
     pub start: Duration,
-    /// The time of a token.
-    pub token: Duration,
+    /// The time of a token; `None` if no stream has been long enough to tell.
+    pub token: Option<Duration>,
 }
 
 impl SlowestTimes {
-    fn add(&mut self, sample: &StreamSample) {
+    fn add(&mut self, sample: &ResponseSample) {
         if sample.events < MIN_PACED_EVENTS {
             self.start = self.start.max(sample.start + sample.writing);
             return;
         }
         self.start = self.start.max(sample.start);
-        self.token = self.token.max(sample.writing / sample.tokens.0.max(1));
+        self.token = self.token.max(Some(sample.writing / sample.tokens.0.max(1)));
     }
 
     fn join(self, other: Self) -> Self {
@@ -49,7 +50,7 @@
     }
 }
 
-/// The slowest streams of the current period and the one before it.
+/// The slowest responses of the current period and the one before it.
 #[derive(Clone, Copy, Debug)]
 struct ServiceTimes {
     began: Instant,
@@ -67,15 +68,15 @@
     }
 }
 
-/// The times of the streams of each service.
+/// The times of the responses of each service.
 #[derive(Debug, Default)]
-pub struct StreamTimes {
+pub struct ResponseTimes {
     services: BTreeMap<ServiceName, ServiceTimes>,
 }
 
-impl StreamTimes {
-    /// Records a complete stream.
-    pub fn record(&mut self, now: Instant, service: &ServiceName, sample: &StreamSample) {
+impl ResponseTimes {
+    /// Records a complete response.
+    pub fn record(&mut self, now: Instant, service: &ServiceName, sample: &ResponseSample) {
         let none = SlowestTimes::default();
         let times = ServiceTimes { began: now, current: none, previous: none };
         let times = self.services.entry(service.clone()).or_insert(times);
@@ -83,12 +84,11 @@
         times.current.add(sample);
     }
 
-    /// Returns the slowest times of the last 30 to 60 s, or `None` if no stream has been long enough to
-    /// tell.
+    /// Returns the slowest times of the last 30 to 60 s, or `None` if there was no response.
     pub fn slowest(&self, now: Instant, service: &ServiceName) -> Option<SlowestTimes> {
         let mut times = *self.services.get(service)?;
         times.advance(now);
         let slowest = times.current.join(times.previous);
-        (!slowest.token.is_zero()).then_some(slowest)
+        (slowest != SlowestTimes::default()).then_some(slowest)
     }
 }
--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -1,5 +1,6 @@
 //! What a host that stops may still take, and by when it has to answer.
 
+use crate::coordination::response_times::SlowestTimes;
 use crate::prelude::*;
 
 /// The process exits by itself this long before the platform would kill it.
@@ -9,7 +10,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// How long before the exit a request is answered whose part that decides it has not done so.
 const LAST_MARGIN: Duration = Duration::from_millis(120);
-/// Slow responses take up to one and a half times what is expected.
+/// Slow responses take up to one and a half times what is expected of an upstream.
 const SLOWNESS: f64 = 1.5;
 /// The longest time that a latency target counts for. A target may be as long as the time limit of its
 /// route, and calls that would be served must not be refused while the load balancer still sends them.
@@ -62,7 +63,7 @@
     /// Returns by when work that is expected to take this long must start to end in time, or `None` if
     /// it takes longer than the machine has been up.
     pub fn latest_start(&self, work: Duration) -> Option<Instant> {
-        self.answers_due.checked_sub(work.mul_f64(SLOWNESS))
+        self.answers_due.checked_sub(work)
     }
 
     /// Returns whether work that is expected to take this long ends in time if it starts now.
@@ -71,8 +72,14 @@
     }
 }
 
-/// Returns how long a request is expected to take: what its route allows until the response begins,
-/// and the time that the upstream takes to write the tokens of a stream.
+/// Returns how long a slow request takes: somewhat longer than its route allows until the response begins,
+/// and than the upstream is expected to take to write the tokens of a stream.
 pub fn expected_work(latency_target: Duration, output: Tokens, token_time: Duration) -> Duration {
-    latency_target.min(MAX_TARGET) + token_time.saturating_mul(output.0)
+    (latency_target.min(MAX_TARGET) + token_time.saturating_mul(output.0)).mul_f64(SLOWNESS)
+}
+
+/// Like [`expected_work`], by the slowest responses of late, which need no margin.
+pub fn measured_work(latency_target: Duration, output: Tokens, slowest: &SlowestTimes) -> Duration {
+    let start = expected_work(latency_target, Tokens(0), Duration::ZERO).max(slowest.start);
+    start + slowest.token.unwrap_or_default().saturating_mul(output.0)
 }
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -7,10 +7,10 @@
 use crate::coordination::membership::MemberTable;
 use crate::coordination::messages::{MemberRecord, MemberState};
 use crate::coordination::request_limits::LimitBoard;
+use crate::coordination::response_times::ResponseTimes;
 use crate::coordination::software_versions::VersionHistory;
 use crate::coordination::store::KeyStore;
 use crate::coordination::stream_origins::OriginBoard;
-use crate::coordination::stream_times::StreamTimes;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
@@ -91,7 +91,7 @@
         newer_era: Notify::new(),
         origins: Mutex::new(OriginBoard::default()),
         origin_lookups: Mutex::new(LookupTable::default()),
-        stream_times: Mutex::new(StreamTimes::default()),
+        response_times: Mutex::new(ResponseTimes::default()),
         versions: Mutex::new(VersionHistory::default()),
         peer_keys: Mutex::new(PeerKeyring::new(settings.peer_key.clone())),
         sequence: AtomicU64::new(0),
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -1,7 +1,7 @@
 //! Runs one accepted request through the request flow and builds its response.
 
 use crate::coordination::flow::RequestSpec;
-use crate::coordination::stops::{STOP_RETRY_AFTER, expected_work};
+use crate::coordination::stops::{STOP_RETRY_AFTER, expected_work, measured_work};
 use crate::prelude::*;
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::gateway::dialect::InboundHead;
@@ -284,7 +284,7 @@
         identity.map_or(&self.gateway.account, |identity| &identity.account.name).clone()
     }
 
-    /// Returns how long the request is expected to take, by the slowest streams of late. Without any,
+    /// Returns how long the request is expected to take, by the slowest responses of late. Without any,
     /// a stream is taken to come as slowly as its route allows. A request that comes during a stop goes
     /// elsewhere at little cost, so its whole limit counts; one that came before would lose its place.
     fn estimate_work(
@@ -294,21 +294,24 @@
         max_output: Tokens,
     ) -> Duration {
         let (target, node) = (self.rule.latency_target, &self.gateway.node);
+        let slowest = lock(&node.response_times).slowest(self.accepted, &template.service);
+        let slowest = slowest.unwrap_or_default();
         if !self.rule.kind.is_stream() {
-            return expected_work(target, Tokens(0), Duration::ZERO);
+            return measured_work(target, Tokens(0), &slowest);
         }
         if max_output == Tokens(0) {
             // Its caller has named no length.
             return self.deadline.saturating_duration_since(self.accepted);
         }
         let output = if node.stop.borrow().is_some() { max_output } else { expected_output };
-        if let Some(slowest) = lock(&node.stream_times).slowest(self.accepted, &template.service) {
-            return expected_work(target.max(slowest.start), output, slowest.token);
+        if slowest.token.is_some() {
+            return measured_work(target, output, &slowest);
         }
         let engine = self.routes.services.get(&template.service).and_then(|known| known.engine);
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         let gap = self.rule.inter_event_target.map(|gap| gap / tokens_per_event);
-        expected_work(target, output, gap.or(template.token_time).unwrap_or_default())
+        let token_time = gap.or(template.token_time).unwrap_or_default();
+        expected_work(target, output, token_time).max(slowest.start)
     }
 
     fn build_spec(
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -16,11 +16,11 @@
 };
 use crate::coordination::ownership::{rank_daemons, shard_key};
 use crate::coordination::request_limits::LimitBoard;
+use crate::coordination::response_times::ResponseTimes;
 use crate::coordination::software_versions::VersionHistory;
 use crate::coordination::stops::StopPlan;
 use crate::coordination::store::KeyStore;
 use crate::coordination::stream_origins::OriginBoard;
-use crate::coordination::stream_times::StreamTimes;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
 use crate::protocol::keyring::PeerKeyring;
@@ -102,8 +102,8 @@
     pub draining: AtomicBool,
     /// The plan by which the daemon stops, once it does and the platform limits the time for it.
     pub stop: watch::Sender<Option<StopPlan>>,
-    /// How long the streams of each service have lately taken here.
-    pub stream_times: Mutex<StreamTimes>,
+    /// How long the requests of each service have lately taken here.
+    pub response_times: Mutex<ResponseTimes>,
     /// Notified when an operator asks the daemon to stop.
     pub stop_requested: Notify,
     /// Whether the daemon refuses new requests while it finishes those in flight.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -6,7 +6,7 @@
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
 };
-use crate::coordination::stream_times::StreamSample;
+use crate::coordination::response_times::ResponseSample;
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
 use crate::transport::claims::release_claim;
@@ -492,23 +492,24 @@
         self.task = Some(task.abort_handle());
     }
 
-    /// Records the times of a stream, unless its caller has delayed it.
+    /// Records the times of a response, unless its caller has delayed it.
     fn record_times(&self) {
-        let latency = &self.latency;
-        let (Some(first), Some(last)) = (latency.first_token, latency.last_token) else { return };
         if self.caller_behind {
             return;
         }
+        let now = self.node.clock.now();
+        let first = self.latency.first_token.unwrap_or(now);
+        let last = self.latency.last_token.unwrap_or(first);
         let events = self.flow.tokens();
         let written = Tokens(events.saturating_mul(self.tokens_per_event));
         let allowed = if self.max_output == Tokens(0) { written } else { self.max_output };
-        let sample = StreamSample {
+        let sample = ResponseSample {
             events,
             start: first - self.accepted,
             tokens: written.min(allowed),
             writing: last - first,
         };
-        lock(&self.node.stream_times).record(self.node.clock.now(), &self.service, &sample);
+        lock(&self.node.response_times).record(now, &self.service, &sample);
     }
 
     async fn finish(&mut self) {
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -741,7 +741,7 @@
 fn stopping_host_starts_no_run_that_cannot_end_in_time() {
     let mut harness = FlowHarness::new(|spec| {
         spec.domains.truncate(1);
-        spec.expected_work = SECOND;
+        spec.expected_work = MILLI * 1_500;
     });
     let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
     assert!(harness.handle(FlowEvent::HostStops(plan)).is_empty());
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -1,7 +1,7 @@
 //! Tests of what a host that stops may still take.
 
+use apricotrun::coordination::response_times::{ResponseSample, ResponseTimes, SlowestTimes};
 use apricotrun::coordination::stops::{StopPlan, expected_work};
-use apricotrun::coordination::stream_times::{SlowestTimes, StreamSample, StreamTimes};
 use apricotrun::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -41,10 +41,10 @@
 }
 
 #[test]
-fn slowest_streams_of_late_tell_how_long_a_stream_takes() {
+fn slowest_responses_of_late_tell_how_long_a_request_takes() {
     let (now, service) = (Instant::now(), "llm".parse().expect("valid name"));
-    let mut times = StreamTimes::default();
-    let sample = |events, start, tokens, writing| StreamSample {
+    let mut times = ResponseTimes::default();
+    let sample = |events, start, tokens, writing| ResponseSample {
         events,
         start: MILLI * start,
         tokens: Tokens(tokens),
@@ -55,8 +55,9 @@
     record(1, sample(100, 500, 100, 2_000));
     // Its pause says nothing of the time of a token.
     record(1, sample(2, 100, 2, 800));
+    record(2, sample(0, 200, 0, 0));
     let slowest = |at| times.slowest(now + SECOND * at, &service);
-    let expected = SlowestTimes { start: MILLI * 900, token: MILLI * 50 };
+    let expected = SlowestTimes { start: MILLI * 900, token: Some(MILLI * 50) };
     assert_eq!(slowest(2), Some(expected));
     assert_eq!(slowest(59), Some(expected));
     assert_eq!(slowest(60), None, "too old");
