Blame a request once for each crash, and clear it when a run completes

Cause: CrashLedger::record added up the weights of all attempts with one fingerprint that were lost, so three equal requests that were in flight at one worker reached the weight of three crashes. Nothing but the hour took the weight away: other runs of the request completed and were not looked at, and a refused request was never tried. That the fingerprint leaves out the query is not the cause: equal GETs without a query and equal POSTs were refused in the same way.

The ledger now keeps crashes instead of attempts. Reports about one upstream, or about upstreams that end within 300 ms, are one crash, except for reports of one request: it ran at its upstreams one after the other, so each of them counts. A completed run, or one that has written for 500 ms, clears the request at all hosts (SoundParts names it by the first half of its fingerprint, which hosts ignore), since a request that crashes each upstream that runs it never completes. Trials follow the rule for parts of prompts. Messages keep their layout, and a history still names attempts and weights: one attempt of each crash.

Check changed: history_of_a_request_that_crashed_upstreams_reaches_a_late_daemon reported three attempts at one upstream at one time and expected a refusal, which is the fault. It now reports three upstreams a second apart and asserts the same.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -1,29 +1,101 @@
-//! Counts the upstreams that died while they ran requests, so that a request that crashes its
+//! Counts the upstreams that ended while they ran requests, so that a request that crashes its
 //! upstreams, or that shares the cause with others, is eventually refused.
+//!
+//! See docs/DESIGN.md, "Requests that crash their upstreams".
 
-use crate::coordination::crashing_parts::PartLedger;
+use crate::coordination::crashing_parts::{MIN_SPAN, PartLedger, SAME_CRASH, next_trial};
 use crate::coordination::flow::MAX_CRASH_WEIGHT;
 use crate::coordination::messages::{CrashDigest, CrashReport, RequestHistory};
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The time after the last crash for which a request's crashes count.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(3600);
 /// The maximum number of requests in the ledger; the one with the oldest last crash is evicted
 /// first.
 const MAX_ENTRIES: usize = 4096;
+/// The maximum number of crashes that are kept of one request.
+const MAX_CRASHES: usize = 8;
+/// The maximum number of attempts that are kept of one crash, to recognize repeated reports.
+const MAX_ATTEMPTS: usize = 64;
 
-/// The crashes of one request.
+/// The end of an upstream under one or more requests with the same fingerprint.
+#[derive(Clone, Debug)]
+struct RequestCrash {
+    at: Instant,
+    /// The attempts that were lost in it.
+    attempts: BTreeSet<AttemptId>,
+    /// Whether a run of the request has completed since, so that the request is not to blame.
+    is_cleared: bool,
+    /// The upstream; unknown if another daemon has told of the crash in a history.
+    upstream: Option<UpstreamName>,
+    /// The largest weight of a report about it.
+    weight: u32,
+}
+
+impl RequestCrash {
+    /// Returns whether a report is about this crash. Upstreams that end at the same time have a cause
+    /// of their own, unless one request has run at them one after the other.
+    fn covers(&self, at: Instant, report: &CrashReport) -> bool {
+        if self.attempts.iter().any(|attempt| attempt.request == report.attempt.request) {
+            return false;
+        }
+        let apart = at.max(self.at) - at.min(self.at);
+        let same_upstream = self.upstream.as_ref() == Some(&report.upstream);
+        same_upstream && apart < SAME_CRASH || !self.is_cleared && apart < MIN_SPAN
+    }
+
+    fn add_attempt(&mut self, attempt: &AttemptId, weight: u32) {
+        self.weight = self.weight.max(weight);
+        if self.attempts.len() < MAX_ATTEMPTS {
+            self.attempts.insert(attempt.clone());
+        }
+    }
+}
+
+/// The crashes under requests with one fingerprint.
 #[derive(Debug)]
-struct CrashEntry {
-    /// The crash weight of each attempt, so that a repeated report counts once.
-    attempts: BTreeMap<AttemptId, u32>,
-    last_crash: Instant,
+struct RequestEntry {
+    /// The crashes in the order in which they became known.
+    crashes: Vec<RequestCrash>,
+    /// When this daemon last let such a request through as a trial.
+    trial_at: Option<Instant>,
 }
 
-impl CrashEntry {
+impl RequestEntry {
+    /// Returns the sum of the weights of the crashes that the request is still suspected of.
     fn weight(&self) -> u32 {
-        self.attempts.values().sum()
+        self.suspected().map(|crash| crash.weight).sum()
+    }
+
+    fn suspected(&self) -> impl Iterator<Item = &RequestCrash> {
+        self.crashes.iter().filter(|crash| !crash.is_cleared)
+    }
+
+    fn last_crash(&self) -> Option<Instant> {
+        self.crashes.iter().map(|crash| crash.at).max()
+    }
+
+    fn crash_of(&mut self, attempt: &AttemptId) -> Option<&mut RequestCrash> {
+        self.crashes.iter_mut().find(|crash| crash.attempts.contains(attempt))
+    }
+
+    fn add_crash(&mut self, crash: RequestCrash) {
+        self.crashes.push(crash);
+        if self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().enumerate();
+            let oldest = oldest.min_by_key(|(_, crash)| (!crash.is_cleared, crash.at));
+            if let Some((index, _)) = oldest {
+                self.crashes.remove(index);
+            }
+        }
+    }
+
+    /// Returns when the request, which is refused, is next let through as a trial.
+    fn trial_due(&self) -> Option<Instant> {
+        let mut times: Vec<_> = self.suspected().map(|crash| crash.at).collect();
+        times.sort_unstable();
+        next_trial(&times, self.trial_at)
     }
 }
 
@@ -32,26 +104,65 @@
 pub struct CrashLedger {
     /// The parts of prompts that requests share.
     pub parts: PartLedger,
-    entries: BTreeMap<Fingerprint, CrashEntry>,
+    entries: BTreeMap<Fingerprint, RequestEntry>,
+    refused: BTreeSet<Fingerprint>,
 }
 
 impl CrashLedger {
-    /// Records a crash report. Repeated reports of one attempt count once.
+    /// Records a crash report. However many attempts were lost in one crash, it counts once.
     pub fn record(&mut self, now: Instant, report: &CrashReport) {
         self.parts.record_crash(now, &report.upstream, &report.parts);
         self.prune(now);
-        self.insert(now, report.fingerprint, &report.attempt, report.weight);
+        let entry = self.entry(report.fingerprint);
+        if let Some(crash) = entry.crash_of(&report.attempt) {
+            crash.weight = crash.weight.max(report.weight);
+        } else if let Some(crash) = entry.crashes.iter_mut().find(|crash| crash.covers(now, report))
+        {
+            crash.add_attempt(&report.attempt, report.weight);
+        } else {
+            entry.add_crash(RequestCrash {
+                at: now,
+                attempts: [report.attempt.clone()].into(),
+                is_cleared: false,
+                upstream: Some(report.upstream.clone()),
+                weight: report.weight,
+            });
+        }
+        self.update_refused(&report.fingerprint);
+    }
+
+    /// Records that a run of a request has completed: it does not crash the upstreams that run it.
+    pub fn clear(&mut self, fingerprint: &Fingerprint) {
+        if let Some(entry) = self.entries.get_mut(fingerprint) {
+            entry.crashes.iter_mut().for_each(|crash| crash.is_cleared = true);
+        }
+        self.update_refused(fingerprint);
     }
 
-    /// Returns what is known of the refused requests, for another daemon.
+    /// Records that another daemon has found these parts, or the requests that they stand for, to be
+    /// sound.
+    pub fn mark_sound(&mut self, now: Instant, parts: &[PromptPart]) {
+        self.parts.mark_sound(now, parts);
+        for part in parts {
+            let known = self.entries.range(Fingerprint::range_of(*part));
+            let known: Vec<_> = known.map(|(fingerprint, _)| *fingerprint).collect();
+            known.iter().for_each(|fingerprint| self.clear(fingerprint));
+        }
+    }
+
+    /// Returns what is known of the refused requests, for another daemon: one attempt of each crash.
     pub fn histories(&self, now: Instant) -> Vec<RequestHistory> {
-        let refused = self.entries.iter().filter(|(_, entry)| entry.weight() >= MAX_CRASH_WEIGHT);
-        let history = |(fingerprint, entry): (&Fingerprint, &CrashEntry)| RequestHistory {
-            fingerprint: *fingerprint,
-            attempts: entry.attempts.iter().map(|(id, weight)| (id.clone(), *weight)).collect(),
-            last_crash: now.saturating_duration_since(entry.last_crash),
+        let history = |fingerprint: &Fingerprint| {
+            let entry = self.entries.get(fingerprint)?;
+            let attempts = entry.suspected();
+            let attempts = attempts.filter_map(|crash| Some((crash.attempts.first()?, crash)));
+            Some(RequestHistory {
+                fingerprint: *fingerprint,
+                attempts: attempts.map(|(id, crash)| (id.clone(), crash.weight)).collect(),
+                last_crash: now.saturating_duration_since(entry.last_crash()?),
+            })
         };
-        refused.map(history).collect()
+        self.refused.iter().filter_map(history).collect()
     }
 
     /// Adds what another daemon knows.
@@ -59,46 +170,83 @@
         self.prune(now);
         for history in histories {
             let Some(last_crash) = now.checked_sub(history.last_crash) else { continue };
+            let entry = self.entry(history.fingerprint);
             for (attempt, weight) in &history.attempts {
-                self.insert(last_crash, history.fingerprint, attempt, *weight);
+                if let Some(crash) = entry.crash_of(attempt) {
+                    crash.weight = crash.weight.max(*weight);
+                    continue;
+                }
+                entry.add_crash(RequestCrash {
+                    at: last_crash,
+                    attempts: [attempt.clone()].into(),
+                    is_cleared: false,
+                    upstream: None,
+                    weight: *weight,
+                });
             }
+            self.update_refused(&history.fingerprint);
         }
     }
 
     /// Returns the digest of all that is refused.
     pub fn digest(&self) -> CrashDigest {
-        let refused = self.entries.iter().filter(|(_, entry)| entry.weight() >= MAX_CRASH_WEIGHT);
-        let bits = refused.map(|(fingerprint, _)| fingerprint.low_bits());
+        let bits = self.refused.iter().map(Fingerprint::low_bits);
         let parts = self.parts.refused().iter().map(|part| part.0);
         bits.chain(parts).fold(CrashDigest::default(), CrashDigest::toggle)
     }
 
-    fn insert(&mut self, at: Instant, fingerprint: Fingerprint, attempt: &AttemptId, weight: u32) {
-        let entry = self
-            .entries
-            .entry(fingerprint)
-            .or_insert_with(|| CrashEntry { attempts: BTreeMap::new(), last_crash: at });
-        entry.last_crash = entry.last_crash.max(at);
-        if entry.attempts.len() < MAX_CRASH_WEIGHT as usize {
-            entry.attempts.insert(attempt.clone(), weight);
-        }
+    /// Returns the requests that are refused.
+    pub fn refused(&self) -> &BTreeSet<Fingerprint> {
+        &self.refused
     }
 
     /// Returns the sum of a request's crash weights, or 0 once [`CRASH_RETENTION`] has passed since
     /// its last crash.
     pub fn weight(&self, now: Instant, fingerprint: &Fingerprint) -> u32 {
-        match self.entries.get(fingerprint) {
-            Some(entry) if now < entry.last_crash + CRASH_RETENTION => entry.weight(),
-            _ => 0,
+        self.current(now, fingerprint).map_or(0, RequestEntry::weight)
+    }
+
+    /// Returns how long a request is still refused; zero means that a trial is due, see
+    /// [`CrashLedger::begin_trial`]. Returns `None` if it is not refused.
+    pub fn check(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Duration> {
+        let entry =
+            self.current(now, fingerprint).filter(|_| self.refused.contains(fingerprint))?;
+        Some(entry.trial_due()?.saturating_duration_since(now))
+    }
+
+    /// Lets one request through as a trial.
+    pub fn begin_trial(&mut self, now: Instant, fingerprint: &Fingerprint) {
+        if let Some(entry) = self.entries.get_mut(fingerprint) {
+            entry.trial_at = Some(now);
         }
     }
 
+    fn current(&self, now: Instant, fingerprint: &Fingerprint) -> Option<&RequestEntry> {
+        let entry = self.entries.get(fingerprint)?;
+        entry.last_crash().filter(|last| now < *last + CRASH_RETENTION).map(|_| entry)
+    }
+
+    fn entry(&mut self, fingerprint: Fingerprint) -> &mut RequestEntry {
+        let new = || RequestEntry { crashes: Vec::new(), trial_at: None };
+        self.entries.entry(fingerprint).or_insert_with(new)
+    }
+
+    fn update_refused(&mut self, fingerprint: &Fingerprint) {
+        let weight = self.entries.get(fingerprint).map_or(0, RequestEntry::weight);
+        match weight >= MAX_CRASH_WEIGHT {
+            true => self.refused.insert(*fingerprint),
+            false => self.refused.remove(fingerprint),
+        };
+    }
+
     fn prune(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| now < entry.last_crash + CRASH_RETENTION);
+        let is_recent = |last: Option<Instant>| last.is_some_and(|at| now < at + CRASH_RETENTION);
+        self.entries.retain(|_, entry| is_recent(entry.last_crash()));
         while self.entries.len() >= MAX_ENTRIES {
-            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_crash);
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_crash());
             let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else { return };
             self.entries.remove(&fingerprint);
         }
+        self.refused.retain(|fingerprint| self.entries.contains_key(fingerprint));
     }
 }
--- a/src/coordination/crashing_parts.rs
+++ b/src/coordination/crashing_parts.rs
@@ -13,9 +13,9 @@
 pub const MIN_CRASHES: usize = 3;
 /// The minimum time between the first and the last of these crashes. Upstreams that end together
 /// have a cause of their own.
-const MIN_SPAN: Duration = Duration::from_millis(300);
+pub(super) const MIN_SPAN: Duration = Duration::from_millis(300);
 /// Reports that name one upstream within this time are about the same crash.
-const SAME_CRASH: Duration = Duration::from_secs(1);
+pub(super) const SAME_CRASH: Duration = Duration::from_secs(1);
 /// How long a run must have written for its parts to count as sound. A run that is lost earlier is
 /// suspected of the crash.
 pub const SOUND_OUTPUT_TIME: Duration = Duration::from_millis(500);
@@ -30,14 +30,14 @@
 /// The maximum number of parts that are remembered because they were refused and found sound.
 const MAX_CLEARED: usize = 256;
 
-/// Whether a request may be sent to upstreams, by the parts of its prompt.
+/// Whether a request may be sent to upstreams, by what is known of it and of the parts of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PartVerdict {
-    /// No part is known to crash upstreams.
+pub enum CrashVerdict {
+    /// Neither the request nor a part is known to crash upstreams.
     Sound,
-    /// A part crashes upstreams, and this request tries whether it still does.
+    /// The request or a part crashes upstreams, and this request tries whether it still does.
     Trial,
-    /// A part crashes upstreams, and callers are told to come back after this time.
+    /// The request or a part crashes upstreams, and callers are told to come back after this time.
     Refused(Duration),
 }
 
@@ -48,6 +48,16 @@
     upstream: UpstreamName,
 }
 
+/// Returns when something that crashed upstreams at these times, in their order, and was last tried at
+/// `trial` is next tried. Each crash after a pause, as by a trial, makes the next pause longer.
+pub(super) fn next_trial(times: &[Instant], trial: Option<Instant>) -> Option<Instant> {
+    let last = times.last()?;
+    let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_DELAY);
+    let factor = TRIAL_BACKOFF.saturating_pow(pauses.count() as u32);
+    let delay = FIRST_TRIAL_DELAY.saturating_mul(factor).min(RETENTION);
+    Some(trial.map_or(*last, |trial| trial.max(*last)) + delay)
+}
+
 /// What is known of a part.
 #[derive(Debug, Default)]
 struct PartEntry {
@@ -240,12 +250,7 @@
     /// Returns when a refused part is next tried.
     fn trial_due(&self, part: &PromptPart) -> Option<Instant> {
         let entry = self.parts.get(part)?;
-        let times = self.times(entry);
-        let last = times.last()?;
-        let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_DELAY);
-        let factor = TRIAL_BACKOFF.saturating_pow(pauses.count() as u32);
-        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor).min(RETENTION);
-        Some(entry.trial_at.map_or(*last, |trial| trial.max(*last)) + delay)
+        next_trial(&self.times(entry), entry.trial_at)
     }
 
     /// Determines the refused parts. A crash is put down to the part that is deepest in the prompt
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -1,6 +1,6 @@
 //! The inputs and outputs of a request flow: its specification, events and actions.
 
-use crate::coordination::crashing_parts::PartVerdict;
+use crate::coordination::crashing_parts::CrashVerdict;
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
@@ -52,8 +52,8 @@
     pub prefix: Vec<u64>,
     /// The time to prefill the prompt on an idle worker.
     pub prefill_time: Duration,
-    /// Whether the parts of the prompt are known to crash upstreams.
-    pub part_verdict: PartVerdict,
+    /// Whether the request, or a part of its prompt, is known to crash upstreams.
+    pub crash_verdict: CrashVerdict,
     /// The parts of the prompt that other requests may share, from its start.
     pub parts: Vec<PromptPart>,
     /// How long daemons keep which software version began the stream, so that callers can take it
@@ -166,7 +166,8 @@
     HostStops(StopPlan),
     /// The shard may have a new owner.
     OwnerChanged,
-    /// Requests with these parts in their prompts are refused from now on.
+    /// Requests with these parts in their prompts, or that these parts stand for, are refused from now
+    /// on.
     PartsRefused(Arc<BTreeSet<PromptPart>>),
     /// The time that [`RequestFlow::next_wake`] returned has come.
     ///
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -12,7 +12,7 @@
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
 };
 
-use crate::coordination::crashing_parts::{FIRST_TRIAL_DELAY, PartVerdict};
+use crate::coordination::crashing_parts::{CrashVerdict, FIRST_TRIAL_DELAY};
 use crate::coordination::messages::{AdmissionRequest, GrantMessage, ReleaseOutcome, ShardMessage};
 use crate::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
 use crate::prelude::*;
@@ -273,7 +273,7 @@
         if self.crash_weight >= MAX_CRASH_WEIGHT {
             return self.refuse(Refusal::not_run(RefusalReason::CrashesUpstream), out);
         }
-        if let PartVerdict::Refused(wait) = self.spec.part_verdict {
+        if let CrashVerdict::Refused(wait) = self.spec.crash_verdict {
             let refusal = Refusal::not_run(RefusalReason::CrashesUpstream);
             return self.refuse(refusal.with_retry_after(wait), out);
         }
@@ -530,13 +530,17 @@
         self.refuse(refusal, out);
     }
 
-    /// Ends the request if it has one of these parts and has not begun to write: it would crash the
-    /// next upstream.
+    /// Ends the request if it has one of these parts and has not begun to write, or if it is refused
+    /// itself and waits: it would crash the next upstream. A run that goes on may still show that the
+    /// request is sound.
     fn handle_parts_refused(&mut self, refused: &BTreeSet<PromptPart>, out: &mut Vec<FlowAction>) {
-        let writes =
-            matches!(&self.stage, FlowStage::Active(active) if active.first_token.is_some());
-        let is_trial = self.spec.part_verdict == PartVerdict::Trial;
-        if writes || is_trial || !self.spec.parts.iter().any(|part| refused.contains(part)) {
+        let (writes, waits) = match &self.stage {
+            FlowStage::Active(active) => (active.first_token.is_some(), false),
+            _ => (false, true),
+        };
+        let has_part = self.spec.parts.iter().any(|part| refused.contains(part));
+        let is_refused = has_part || waits && refused.contains(&self.spec.fingerprint.as_part());
+        if writes || !is_refused || self.spec.crash_verdict == CrashVerdict::Trial {
             return;
         }
         self.may_have_run |= self.is_running();
--- a/src/state/ids.rs
+++ b/src/state/ids.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 use thiserror::Error;
 
@@ -309,6 +310,19 @@
         half.copy_from_slice(&self.0[..8]);
         u64::from_le_bytes(half)
     }
+
+    /// Returns the part that stands for the whole request where parts are named.
+    pub fn as_part(&self) -> PromptPart {
+        PromptPart(self.low_bits())
+    }
+
+    /// Returns the range of the fingerprints that a part stands for, usually one.
+    pub fn range_of(part: PromptPart) -> RangeInclusive<Self> {
+        let (mut first, mut last) = ([0; 16], [u8::MAX; 16]);
+        first[..8].copy_from_slice(&part.0.to_le_bytes());
+        last[..8].copy_from_slice(&part.0.to_le_bytes());
+        Self(first)..=Self(last)
+    }
 }
 
 /// A part of a prompt that other requests may share, such as a system prompt: the digest of its name
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -80,6 +80,7 @@
         clock,
         config: Mutex::new(ConfigReplica::default()),
         crashes: Mutex::new(CrashLedger::default()),
+        untold_sound: Mutex::default(),
         flows: Mutex::new(BTreeMap::new()),
         gossip: UdpSocket::bind(settings.peer).await?,
         in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -341,8 +341,7 @@
         let retries = self.gateway.retry_budget(service);
         retries.record_request(self.accepted);
         let avoid = self.gateway.upstreams_to_avoid(self.accepted, service);
-        let crash_weight = lock(&node.crashes).weight(self.accepted, &fingerprint);
-        let part_verdict = node.check_parts(self.accepted, parts);
+        let (crash_verdict, crash_weight) = node.check_crashes(self.accepted, &fingerprint, parts);
         Some(RequestSpec {
             account: self.account(),
             avoid,
@@ -362,7 +361,7 @@
             origin_lifetime: self.rule.kind.is_resumable().then(|| origin_lifetime(&self.rule)),
             outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
-            part_verdict,
+            crash_verdict,
             parts: parts.to_vec(),
             prefix: shape.map(|shape| shape.prefix.clone()).unwrap_or_default(),
             progress_period: self.rule.kind.is_stream().then_some(PROGRESS_PERIOD),
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -248,8 +248,7 @@
     let length = Tokens((prompt.len() as u32).div_ceil(BYTES_PER_TOKEN).max(1));
     let service = template.service.as_str().as_bytes();
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
-    let crash_weight = lock(&node.crashes).weight(now, &fingerprint);
-    let part_verdict = node.check_parts(now, &parts);
+    let (crash_verdict, crash_weight) = node.check_crashes(now, &fingerprint, &parts);
     let token_time = template.token_time.unwrap_or(template.inter_token_target);
     RequestSpec {
         account: account.clone(),
@@ -267,7 +266,7 @@
         id: node.next_request_id(),
         transfer_time: template.link_tokens_per_second.time_for(length),
         prefill_time: template.prefill_tokens_per_second.time_for(length),
-        part_verdict,
+        crash_verdict,
         parts,
         prefix: prefix_digests(&prompt, template.block_tokens),
         prompt: length,
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -1,6 +1,5 @@
 //! Proxies calls to plain services, and issues tickets for calls that must not run twice.
 
-use crate::coordination::crashing_parts::PartVerdict;
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
 use crate::coordination::stops::expected_work;
@@ -225,13 +224,14 @@
     let now = node.clock.now();
     let template = &plain.template;
     let fingerprint = plain.fingerprint();
+    let (crash_verdict, crash_weight) = node.check_crashes(now, &fingerprint, &[]);
     RequestSpec {
         account: plain.account.clone(),
         avoid: Vec::new(),
         expected_output: Tokens(0),
         expected_work: expected_work(template.first_token_target, Tokens(0), Duration::ZERO),
         inter_token_target: Duration::ZERO,
-        crash_weight: lock(&node.crashes).weight(now, &fingerprint),
+        crash_weight,
         deadline: now + template.deadline,
         domains: node.domains_of(template),
         first_index: 0,
@@ -241,7 +241,7 @@
         id: node.next_request_id(),
         transfer_time: Duration::ZERO,
         prefill_time: Duration::ZERO,
-        part_verdict: PartVerdict::Sound,
+        crash_verdict,
         parts: Vec::new(),
         prefix: Vec::new(),
         prompt: Tokens(0),
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
-//! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`, `limits`,
-//! `flows`, `origins`, `versions`, `origin_lookups`, `allotments`, `freshness`, `blocked_peers`,
+//! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`,
+//! `untold_sound`, `limits`, `flows`, `origins`, `versions`, `origin_lookups`, `allotments`, `freshness`, `blocked_peers`,
 //! `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
@@ -64,6 +64,8 @@
     pub config: Mutex<ConfigReplica>,
     /// The requests, and parts of prompts, that crashed upstreams.
     pub crashes: Mutex<CrashLedger>,
+    /// What this daemon has found sound and has not told the others yet.
+    pub untold_sound: Mutex<BTreeSet<PromptPart>>,
     /// The requests that upstreams take from all daemons together.
     pub limits: Mutex<LimitBoard>,
     /// Limits the rate of log lines about requests and members.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -99,6 +99,7 @@
         caller_behind: false,
         claim: None,
         deadline: spec.deadline,
+        fingerprint: spec.fingerprint,
         origin_lifetime: spec.origin_lifetime,
         attempt_sender,
         flow: RequestFlow::new(now, spec),
@@ -136,6 +137,7 @@
     /// many events there are.
     attempt_sender: Sender<FlowEvent>,
     deadline: Instant,
+    fingerprint: Fingerprint,
     flow: RequestFlow,
     /// The caller's id of the request, for the log.
     request_id: String,
@@ -257,7 +259,9 @@
                 self.log_crash(&report);
                 self.node.report_crash(report);
             }
-            FlowAction::ReportOutput { began, parts } => self.node.record_output(began, &parts),
+            FlowAction::ReportOutput { began, parts } => {
+                self.node.record_output(began, &self.fingerprint, &parts);
+            }
             FlowAction::Dropped => {
                 counter!("apricotrun_foreign_tokens_dropped_total").increment(1);
             }
@@ -513,6 +517,7 @@
     }
 
     async fn finish(&mut self) {
+        self.node.record_sound_request(&self.fingerprint);
         self.record_times();
         let response = self.executor.take_response();
         let tokens = self.flow.tokens();
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -10,7 +10,7 @@
 };
 use crate::policy::report::{PolicyReport, RequestRecord};
 use crate::policy::timeline::Timeline;
-use apricotrun::coordination::crashing_parts::PartVerdict;
+use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -284,7 +284,7 @@
             id: RequestId { entry: self.entry.clone(), sequence: id },
             transfer_time: seconds(arrival.prompt, self.mix.link_rate),
             prefill_time: seconds(arrival.prompt, self.mix.prefill_rate),
-            part_verdict: PartVerdict::Sound,
+            crash_verdict: CrashVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(arrival.prompt),
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -155,11 +155,12 @@
     let now = Instant::now() + SECOND * 60;
     let fingerprint = Fingerprint::of(&[b"request"]);
     let mut ledger = CrashLedger::default();
-    for attempt in ["a.1.7.1", "a.1.7.2", "b.1.3.1"] {
-        let upstream = "u0".parse().expect("a valid name");
+    for (index, attempt) in ["a.1.7.1", "a.1.7.2", "b.1.3.1"].iter().enumerate() {
+        let at = now - SECOND * (2 - index as u32);
+        let upstream = format!("u{index}").parse().expect("a valid name");
         let attempt = attempt.parse().expect("a valid id");
         let parts = Vec::new();
-        ledger.record(now, &CrashReport { attempt, fingerprint, parts, upstream, weight: 1 });
+        ledger.record(at, &CrashReport { attempt, fingerprint, parts, upstream, weight: 1 });
     }
     let mut late = CrashLedger::default();
     assert_ne!(late.digest(), ledger.digest());
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -1,6 +1,6 @@
 //! Harness that drives one request flow with events and a manual clock.
 
-use apricotrun::coordination::crashing_parts::PartVerdict;
+use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -47,7 +47,7 @@
             id: request(),
             transfer_time: MILLI * 10,
             prefill_time: MILLI * 100,
-            part_verdict: PartVerdict::Sound,
+            crash_verdict: CrashVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use apricotrun::coordination::crashing_parts::PartVerdict;
+use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
@@ -462,7 +462,7 @@
     assert_eq!(writing.handle(refused_parts()), []);
     let mut trial = FlowHarness::new(|spec| {
         with_shared_part(spec);
-        spec.part_verdict = PartVerdict::Trial;
+        spec.crash_verdict = CrashVerdict::Trial;
     });
     trial.handle(FlowEvent::Start);
     assert_eq!(trial.handle(refused_parts()), []);
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -4,7 +4,7 @@
 
 use crate::Operation;
 use apricotrun::coordination::claims::ClaimSet;
-use apricotrun::coordination::crashing_parts::PartVerdict;
+use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
     FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
@@ -203,7 +203,7 @@
             id: id.clone(),
             transfer_time: Duration::from_millis(10),
             prefill_time: Duration::from_millis(100),
-            part_verdict: PartVerdict::Sound,
+            crash_verdict: CrashVerdict::Sound,
             parts: Vec::new(),
             prefix: Vec::new(),
             prompt: Tokens(1_000),
