Tell requests apart by their query and account when they crash upstreams

Callers of one page of a list got 503 while another page of it crashed workers, and with accounts the requests of one were refused for an equal one of another.

Cause: the fingerprint was made of service, path, last part of the prompt and body.

The query and the account now belong to it where there are any. Reporting it to old hosts under their fingerprint was left out: they would refuse the path for it.

Evidence: both tests named told_from_others failed before the fix (503 in place of 200 for the other page and for the other account) and pass.

--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -314,6 +314,26 @@
         expected_work(target, output, token_time).max(slowest.start)
     }
 
+    /// Returns a digest of what makes the request the same as an earlier one: hosts of d88e3f8 know no
+    /// query and no account, so that these are left out where there are none.
+    fn fingerprint(&self, service: &ServiceName) -> Fingerprint {
+        let InboundRequest { body, head, identity, uri, .. } = &self.inbound;
+        let prompt = head.prompt.as_ref().and_then(|shape| shape.prefix.last());
+        let prompt = prompt.copied().unwrap_or_default().to_le_bytes();
+        let account = identity.as_ref().map_or("", |identity| identity.account.name.as_str());
+        let query = uri.query().unwrap_or_default();
+        let parts = [
+            service.as_str().as_bytes(),
+            uri.path().as_bytes(),
+            &prompt,
+            body,
+            query.as_bytes(),
+            account.as_bytes(),
+        ];
+        let is_plain = query.is_empty() && account.is_empty();
+        Fingerprint::of(if is_plain { &parts[..4] } else { &parts })
+    }
+
     fn build_spec(
         &self,
         service: &ServiceName,
@@ -330,14 +350,7 @@
         let max_output = shape.map_or(Tokens(0), |shape| shape.max_output);
         let expected_output =
             shape.and_then(|shape| shape.length_hint).unwrap_or(max_output).min(max_output);
-        let path = self.inbound.uri.path().as_bytes();
-        let prompt_hash = shape.and_then(|shape| shape.prefix.last()).copied().unwrap_or_default();
-        let fingerprint = Fingerprint::of(&[
-            service.as_str().as_bytes(),
-            path,
-            &prompt_hash.to_le_bytes(),
-            &self.inbound.body,
-        ]);
+        let fingerprint = self.fingerprint(service);
         let retries = self.gateway.retry_budget(service);
         retries.record_request(self.accepted);
         let avoid = self.gateway.upstreams_to_avoid(self.accepted, service);
