Record crashes in the store, so that they are known after all hosts ended

Cause: CrashLedger was kept in the memory of the hosts only. A host that starts learns from others that run, and only of requests that are refused by then: a count of one or two was lost even in a rolling restart.

The hosts now keep a record under one key of the store. It is read with the directory that each host reads before it serves and watches anyway; one host writes it 200 ms after a crash, the others only if that fails. It holds single crashes too, and is written after the store returns if it was away. The first trial of a refused request comes after 16 s instead of 2 s, so that trials do not add up to a fourth late retry where a crash could not be recorded.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -3,14 +3,20 @@
 //!
 //! See docs/DESIGN.md, "Requests that crash their upstreams".
 
+use crate::coordination::crash_record::{CrashRecord, RecordedCrash};
 use crate::coordination::crashing_parts::{MIN_SPAN, PartLedger, SAME_CRASH, next_trial};
 use crate::coordination::flow::MAX_CRASH_WEIGHT;
 use crate::coordination::messages::{CrashDigest, CrashReport, RequestHistory};
 use crate::prelude::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::SystemTime;
 
 /// The time after the last crash for which a request's crashes count.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(3600);
+/// The time from the last crash to the first trial of a request that is refused. A request that is not to
+/// blame has mostly been cleared by then, and each other trial costs its upstream's other callers.
+const REQUEST_TRIAL_DELAY: Duration = Duration::from_secs(16);
 /// The maximum number of requests in the ledger; the one with the oldest last crash is evicted
 /// first.
 const MAX_ENTRIES: usize = 4096;
@@ -18,6 +24,9 @@
 const MAX_CRASHES: usize = 8;
 /// The maximum number of attempts that are kept of one crash, to recognize repeated reports.
 const MAX_ATTEMPTS: usize = 64;
+/// The maximum number of crashes in the stored record, about 40 KB. Requests with the largest weight go
+/// first.
+const MAX_RECORDED: usize = 512;
 
 /// The end of an upstream under one or more requests with the same fingerprint.
 #[derive(Clone, Debug)]
@@ -34,21 +43,26 @@
 }
 
 impl RequestCrash {
-    /// Returns whether a report is about this crash. Upstreams that end at the same time have a cause
-    /// of their own, unless one request has run at them one after the other.
-    fn covers(&self, at: Instant, report: &CrashReport) -> bool {
-        if self.attempts.iter().any(|attempt| attempt.request == report.attempt.request) {
+    /// Returns whether this and another one, of which one attempt is known, are the same crash.
+    /// Upstreams that end at the same time have a cause of their own, unless one request has run at them
+    /// one after the other.
+    fn covers(&self, other: &Self) -> bool {
+        let is_known = |attempt: &AttemptId| {
+            self.attempts.iter().any(|known| known.request == attempt.request)
+        };
+        if other.attempts.iter().any(is_known) {
             return false;
         }
-        let apart = at.max(self.at) - at.min(self.at);
-        let same_upstream = self.upstream.as_ref() == Some(&report.upstream);
+        let apart = other.at.max(self.at) - other.at.min(self.at);
+        let same_upstream = self.upstream.is_some() && self.upstream == other.upstream;
         same_upstream && apart < SAME_CRASH || !self.is_cleared && apart < MIN_SPAN
     }
 
-    fn add_attempt(&mut self, attempt: &AttemptId, weight: u32) {
-        self.weight = self.weight.max(weight);
+    fn absorb(&mut self, other: Self) {
+        self.weight = self.weight.max(other.weight);
+        self.is_cleared |= other.is_cleared;
         if self.attempts.len() < MAX_ATTEMPTS {
-            self.attempts.insert(attempt.clone());
+            self.attempts.extend(other.attempts);
         }
     }
 }
@@ -80,7 +94,20 @@
         self.crashes.iter_mut().find(|crash| crash.attempts.contains(attempt))
     }
 
-    fn add_crash(&mut self, crash: RequestCrash) {
+    /// Adds a crash of which one attempt is known, unless it is known already.
+    fn report(&mut self, crash: RequestCrash) {
+        let is_known = |known: &&mut RequestCrash| !known.attempts.is_disjoint(&crash.attempts);
+        if let Some(known) = self.crashes.iter_mut().find(is_known) {
+            known.weight = known.weight.max(crash.weight);
+            known.is_cleared |= crash.is_cleared;
+        } else if let Some(known) = self.crashes.iter_mut().find(|known| known.covers(&crash)) {
+            known.absorb(crash);
+        } else {
+            self.push(crash);
+        }
+    }
+
+    fn push(&mut self, crash: RequestCrash) {
         self.crashes.push(crash);
         if self.crashes.len() > MAX_CRASHES {
             let oldest = self.crashes.iter().enumerate();
@@ -95,16 +122,27 @@
     fn trial_due(&self) -> Option<Instant> {
         let mut times: Vec<_> = self.suspected().map(|crash| crash.at).collect();
         times.sort_unstable();
-        next_trial(&times, self.trial_at)
+        next_trial(REQUEST_TRIAL_DELAY, &times, self.trial_at)
     }
 }
 
+/// How urgent it is to write the record of crashes to the store.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RecordNeed {
+    /// A request that the record blames has been cleared.
+    Cleared,
+    /// The record lacks a crash.
+    Missing,
+}
+
 /// What crashed upstreams: whole requests, by fingerprint, and parts of prompts.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     /// The parts of prompts that requests share.
     pub parts: PartLedger,
     entries: BTreeMap<Fingerprint, RequestEntry>,
+    /// The attempts in the stored record, and whether they are cleared there.
+    recorded: BTreeMap<AttemptId, bool>,
     refused: BTreeSet<Fingerprint>,
 }
 
@@ -113,21 +151,13 @@
     pub fn record(&mut self, now: Instant, report: &CrashReport) {
         self.parts.record_crash(now, &report.upstream, &report.parts);
         self.prune(now);
-        let entry = self.entry(report.fingerprint);
-        if let Some(crash) = entry.crash_of(&report.attempt) {
-            crash.weight = crash.weight.max(report.weight);
-        } else if let Some(crash) = entry.crashes.iter_mut().find(|crash| crash.covers(now, report))
-        {
-            crash.add_attempt(&report.attempt, report.weight);
-        } else {
-            entry.add_crash(RequestCrash {
-                at: now,
-                attempts: [report.attempt.clone()].into(),
-                is_cleared: false,
-                upstream: Some(report.upstream.clone()),
-                weight: report.weight,
-            });
-        }
+        self.entry(report.fingerprint).report(RequestCrash {
+            at: now,
+            attempts: [report.attempt.clone()].into(),
+            is_cleared: false,
+            upstream: Some(report.upstream.clone()),
+            weight: report.weight,
+        });
         self.update_refused(&report.fingerprint);
     }
 
@@ -176,7 +206,7 @@
                     crash.weight = crash.weight.max(*weight);
                     continue;
                 }
-                entry.add_crash(RequestCrash {
+                entry.push(RequestCrash {
                     at: last_crash,
                     attempts: [attempt.clone()].into(),
                     is_cleared: false,
@@ -188,6 +218,90 @@
         }
     }
 
+    /// Returns the record of what is known, for the store: of all requests that are suspected, also of
+    /// one crash, since they come again after all daemons have ended.
+    pub fn to_record(&self, now: Instant, written: SystemTime) -> CrashRecord {
+        let row = |crash: &RequestCrash| {
+            let recorded = crash.attempts.iter().find(|id| self.recorded.contains_key(id));
+            // Without its row, a daemon that missed that it was cleared would record it again.
+            let is_useful = !crash.is_cleared || recorded.is_some();
+            let attempt = recorded.or(crash.attempts.first())?;
+            is_useful.then(|| RecordedCrash {
+                age: now.saturating_duration_since(crash.at),
+                attempt: attempt.clone(),
+                is_cleared: crash.is_cleared,
+                upstream: crash.upstream.clone(),
+                weight: crash.weight,
+            })
+        };
+        let recent = self.entries.keys().filter_map(|key| Some((key, self.current(now, key)?)));
+        let mut entries: Vec<_> = recent.collect();
+        entries.sort_by_key(|(_, entry)| Reverse((entry.weight(), entry.last_crash())));
+        let mut requests = BTreeMap::new();
+        let mut rows = 0;
+        for (fingerprint, entry) in entries {
+            let crashes: Vec<_> = entry.crashes.iter().filter_map(row).collect();
+            rows += crashes.len();
+            if rows > MAX_RECORDED {
+                break;
+            }
+            if !crashes.is_empty() {
+                requests.insert(*fingerprint, crashes);
+            }
+        }
+        CrashRecord::new(written, self.parts.suspected(now), requests)
+    }
+
+    /// Adds what the stored record says of requests, and remembers what it says.
+    pub fn merge_record(&mut self, now: Instant, wall: SystemTime, record: &CrashRecord) {
+        self.prune(now);
+        self.note_recorded(record);
+        let since_written = record.age(wall);
+        for (fingerprint, crashes) in &record.requests {
+            for crash in crashes {
+                let Some(at) = now.checked_sub(crash.age + since_written) else { continue };
+                self.entry(*fingerprint).report(RequestCrash {
+                    at,
+                    attempts: [crash.attempt.clone()].into(),
+                    is_cleared: crash.is_cleared,
+                    upstream: crash.upstream.clone(),
+                    weight: crash.weight,
+                });
+            }
+            self.update_refused(fingerprint);
+        }
+    }
+
+    /// Adds what the stored record says of parts of prompts, for a daemon that starts. One that runs has
+    /// been told by the others, with times that do not depend on clocks.
+    pub fn merge_recorded_parts(&mut self, now: Instant, wall: SystemTime, record: &CrashRecord) {
+        self.parts.merge(now, &record.aged_parts(wall));
+    }
+
+    /// Remembers what the stored record says, which is what this daemon has written.
+    pub fn note_recorded(&mut self, record: &CrashRecord) {
+        let crashes = record.requests.values().flatten();
+        self.recorded = crashes.map(|crash| (crash.attempt.clone(), crash.is_cleared)).collect();
+    }
+
+    /// Returns whether the stored record has to be written again.
+    pub fn record_need(&self, now: Instant) -> Option<RecordNeed> {
+        let is_full = self.recorded.len() + MAX_CRASHES > MAX_RECORDED;
+        let need = |entry: &RequestEntry, crash: &RequestCrash| {
+            let mut recorded = crash.attempts.iter().filter_map(|id| self.recorded.get(id));
+            if crash.is_cleared {
+                let is_blamed = recorded.any(|is_cleared| !is_cleared);
+                return is_blamed.then_some(RecordNeed::Cleared);
+            }
+            let has_room = !is_full || entry.weight() > 1;
+            (has_room && recorded.next().is_none()).then_some(RecordNeed::Missing)
+        };
+        let recent = self.entries.keys().filter_map(|key| self.current(now, key));
+        let needs = recent
+            .flat_map(|entry| entry.crashes.iter().filter_map(move |crash| need(entry, crash)));
+        needs.max()
+    }
+
     /// Returns the digest of all that is refused.
     pub fn digest(&self) -> CrashDigest {
         let bits = self.refused.iter().map(Fingerprint::low_bits);
--- a/src/coordination/crashing_parts.rs
+++ b/src/coordination/crashing_parts.rs
@@ -30,6 +30,9 @@
 /// The maximum number of parts that are remembered because they were refused and found sound.
 const MAX_CLEARED: usize = 256;
 
+/// The maximum number of parts in the stored record.
+const MAX_SUSPECTED: usize = 256;
+
 /// Whether a request may be sent to upstreams, by what is known of it and of the parts of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashVerdict {
@@ -49,12 +52,17 @@
 }
 
 /// Returns when something that crashed upstreams at these times, in their order, and was last tried at
-/// `trial` is next tried. Each crash after a pause, as by a trial, makes the next pause longer.
-pub(super) fn next_trial(times: &[Instant], trial: Option<Instant>) -> Option<Instant> {
+/// `trial` is next tried, the first time `first` after the last crash. Each crash after a pause, as by a
+/// trial, makes the next pause longer.
+pub(super) fn next_trial(
+    first: Duration,
+    times: &[Instant],
+    trial: Option<Instant>,
+) -> Option<Instant> {
     let last = times.last()?;
-    let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= FIRST_TRIAL_DELAY);
+    let pauses = times.windows(2).filter(|pair| pair[1] - pair[0] >= first);
     let factor = TRIAL_BACKOFF.saturating_pow(pauses.count() as u32);
-    let delay = FIRST_TRIAL_DELAY.saturating_mul(factor).min(RETENTION);
+    let delay = first.saturating_mul(factor).min(RETENTION);
     Some(trial.map_or(*last, |trial| trial.max(*last)) + delay)
 }
 
@@ -137,21 +145,32 @@
     /// Returns what is known of the parts that are or were refused, for another daemon.
     pub fn histories(&self, now: Instant) -> Vec<PartHistory> {
         let known: BTreeSet<_> = self.refused.iter().chain(self.cleared.keys()).copied().collect();
-        let history = |part| {
-            let entry = self.parts.get(&part);
-            let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
-            let age = |at: Instant| now.saturating_duration_since(at);
-            PartHistory {
-                part,
-                crashes: crashes
-                    .map(|number| &self.crashes[number])
-                    .map(|crash| (crash.upstream.clone(), age(crash.at)))
-                    .collect(),
-                depth: entry.map_or(0, |entry| entry.depth as u32),
-                sound: self.cleared.get(&part).map(|at| age(*at)),
-            }
-        };
-        known.into_iter().map(history).collect()
+        known.into_iter().map(|part| self.history(now, part)).collect()
+    }
+
+    /// Returns what is known of all parts that are suspected or were refused, those with the most crashes
+    /// first, for daemons that start.
+    pub fn suspected(&self, now: Instant) -> Vec<PartHistory> {
+        let known: BTreeSet<_> = self.parts.keys().chain(self.cleared.keys()).copied().collect();
+        let mut histories: Vec<_> = known.into_iter().map(|part| self.history(now, part)).collect();
+        histories.sort_by_key(|history| Reverse(history.crashes.len()));
+        histories.truncate(MAX_SUSPECTED);
+        histories
+    }
+
+    fn history(&self, now: Instant, part: PromptPart) -> PartHistory {
+        let entry = self.parts.get(&part);
+        let crashes = entry.into_iter().flat_map(|entry| &entry.crashes);
+        let age = |at: Instant| now.saturating_duration_since(at);
+        PartHistory {
+            part,
+            crashes: crashes
+                .map(|number| &self.crashes[number])
+                .map(|crash| (crash.upstream.clone(), age(crash.at)))
+                .collect(),
+            depth: entry.map_or(0, |entry| entry.depth as u32),
+            sound: self.cleared.get(&part).map(|at| age(*at)),
+        }
     }
 
     /// Adds what another daemon knows.
@@ -250,7 +269,7 @@
     /// Returns when a refused part is next tried.
     fn trial_due(&self, part: &PromptPart) -> Option<Instant> {
         let entry = self.parts.get(part)?;
-        next_trial(&self.times(entry), entry.trial_at)
+        next_trial(FIRST_TRIAL_DELAY, &self.times(entry), entry.trial_at)
     }
 
     /// Determines the refused parts. A crash is put down to the part that is deepest in the prompt
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod allotments;
 pub mod claims;
 pub mod config;
+pub mod crash_record;
 pub mod crashes;
 pub mod crashing_parts;
 pub mod flow;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -47,6 +47,11 @@
     format!("part/{part}")
 }
 
+/// Returns the key by which the daemons are ranked that write the record of crashes.
+pub fn crash_key() -> String {
+    "crashes".to_owned()
+}
+
 fn score(key: &str, daemon: &DaemonId) -> u64 {
     Fingerprint::of(&[key.as_bytes(), daemon.host.as_str().as_bytes()]).low_bits()
 }
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -9,7 +9,7 @@
 use crate::coordination::request_limits::LimitBoard;
 use crate::coordination::response_times::ResponseTimes;
 use crate::coordination::software_versions::VersionHistory;
-use crate::coordination::store::KeyStore;
+use crate::coordination::store::{KeyStore, StoreVersion};
 use crate::coordination::stream_origins::OriginBoard;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
@@ -81,6 +81,8 @@
         config: Mutex::new(ConfigReplica::default()),
         crashes: Mutex::new(CrashLedger::default()),
         untold_sound: Mutex::default(),
+        crash_record: Mutex::new(StoreVersion::ABSENT),
+        crashes_changed: Notify::new(),
         flows: Mutex::new(BTreeMap::new()),
         gossip: UdpSocket::bind(settings.peer).await?,
         in_flight: Arc::new(Semaphore::new(settings.in_flight_limit)),
--- a/src/transport/crashes.rs
+++ b/src/transport/crashes.rs
@@ -149,13 +149,14 @@
 
     /// Applies a change to the crash ledger and ends the requests of this entry that are refused from
     /// now on, by themselves or for a part.
-    fn change_refusals(&self, change: impl FnOnce(&Self)) {
+    pub(super) fn change_refusals(&self, change: impl FnOnce(&Self)) {
         let before = Refusals::of(&lock(&self.crashes));
         change(self);
         let (after, digest) = {
             let crashes = lock(&self.crashes);
             (Refusals::of(&crashes), crashes.digest())
         };
+        self.crashes_changed.notify_one();
         let now = self.clock.now();
         lock(&self.members).handle(now, MemberEvent::Crashes(digest));
         if after == before {
--- a/src/transport/daemon.rs
+++ b/src/transport/daemon.rs
@@ -6,6 +6,7 @@
 use crate::transport::build::{NodeDependencies, build_node};
 use crate::transport::claims::send_summaries;
 use crate::transport::consul::ConsulStore;
+use crate::transport::crash_record::keep_crash_record;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::{CliError, CliResult};
 use crate::transport::gateway::probes::{DRAIN_PERIOD, drain_samples};
@@ -77,6 +78,11 @@
     tokio::spawn(tick_orders(node.clone()));
     tokio::spawn(send_summaries(node.clone()));
     tokio::spawn(watcher::watch_store(node.clone()));
+    let record_node = node.clone();
+    tokio::spawn(async move {
+        record_node.load_crash_record().await;
+        keep_crash_record(record_node).await;
+    });
     let server = http::mount(rocket::custom(http_config(&node.settings)), node.clone());
     let server = server.manage(handle).ignite().await;
     let server = server.map_err(|error| CliError::Server(error.to_string()))?;
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::protocol::keyring::SharedKey;
 use crate::state::routes::RouteTable;
+use crate::transport::crash_record::StoredCrashes;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::node::lock;
 use futures::future::BoxFuture;
@@ -42,6 +43,8 @@
 /// The complete content of the directory.
 #[derive(Clone, Debug, Default)]
 pub struct DirectorySnapshot {
+    /// The record of crashes.
+    pub crashes: StoredCrashes,
     /// The peer addresses of the registered hosts.
     pub hosts: BTreeMap<HostName, SocketAddr>,
     /// The key that all daemons share; absent before any host has registered.
@@ -61,6 +64,8 @@
 /// One change of the directory.
 #[derive(Clone, Debug)]
 pub enum DirectoryChange {
+    /// The record of crashes was written.
+    Crashes(StoredCrashes),
     /// A host registered with this peer address.
     Host(HostName, SocketAddr),
     /// The key that all daemons share was written.
@@ -292,6 +297,7 @@
 
     /// Applies the complete content of the directory.
     pub fn apply_snapshot(self: &Arc<Self>, snapshot: DirectorySnapshot) {
+        self.node.observe_crash_record(&snapshot.crashes);
         self.record_era(snapshot.seen.era);
         self.check_registration(&snapshot);
         self.note_readable(!snapshot.has_unreadable_routes);
@@ -316,6 +322,7 @@
             upstreams = snapshot.upstreams.len(), hosts = snapshot.hosts.len();
             "store: has returned from an older copy"
         );
+        self.node.observe_crash_record(&snapshot.crashes);
         self.check_registration(&snapshot);
         self.note_readable(!snapshot.has_unreadable_routes);
         if let Some(routes) = snapshot.routes {
@@ -357,6 +364,7 @@
         let mut events = vec![RegistryEvent::Tick];
         for change in changes {
             match change {
+                DirectoryChange::Crashes(crashes) => self.node.observe_crash_record(&crashes),
                 // The membership protocol discovers hosts with its own probes, but a daemon that
                 // knows no other needs an address to begin with.
                 DirectoryChange::Host(_, address) => {
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -13,6 +13,7 @@
 use crate::transport::allotments::tick_leases;
 use crate::transport::build::{NodeDependencies, build_node};
 use crate::transport::claims::send_summaries;
+use crate::transport::crash_record::keep_crash_record;
 use crate::transport::engine::UpstreamClient;
 use crate::transport::error::CliResult;
 use crate::transport::gateway::bodies::MemoryBudget;
@@ -421,6 +422,7 @@
         config_counter: AtomicU64::new(0),
     });
     let seen = snapshot.seen;
+    gateway.node.learn_crashes(&snapshot.crashes);
     gateway.apply_snapshot(snapshot);
     gateway.record_answer(asked_at, seen.era);
     lock(&gateway.node.versions).set_readable(gateway.node.clock.now(), true);
@@ -437,6 +439,7 @@
     tokio::spawn(watch_directory(gateway.clone(), seen));
     tokio::spawn(plan_roles(gateway.clone(), roles));
     tokio::spawn(renew_registration(gateway.clone()));
+    tokio::spawn(keep_crash_record(gateway.node.clone()));
     run_maintenance(gateway, state).await;
     Ok(())
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod client;
 pub mod consul;
+pub mod crash_record;
 pub mod crashes;
 #[cfg(feature = "interface")]
 pub mod daemon;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -1,7 +1,7 @@
 //! The state shared by the components of a daemon, and the routing of messages between daemons.
 //!
 //! Lock order: `config`, `members`, `shards`, `orders`, `claims`, `tickets`, `crashes`,
-//! `untold_sound`, `limits`, `flows`, `origins`, `versions`, `origin_lookups`, `allotments`, `freshness`, `blocked_peers`,
+//! `untold_sound`, `crash_record`, `limits`, `flows`, `origins`, `versions`, `origin_lookups`, `allotments`, `freshness`, `blocked_peers`,
 //! `peer_keys`.
 //! A thread that holds a lock takes only locks that come later in this list, and no lock is held
 //! across an await.
@@ -19,7 +19,7 @@
 use crate::coordination::response_times::ResponseTimes;
 use crate::coordination::software_versions::VersionHistory;
 use crate::coordination::stops::StopPlan;
-use crate::coordination::store::KeyStore;
+use crate::coordination::store::{KeyStore, StoreVersion};
 use crate::coordination::stream_origins::OriginBoard;
 use crate::coordination::tickets::TicketTable;
 use crate::prelude::*;
@@ -66,6 +66,10 @@
     pub crashes: Mutex<CrashLedger>,
     /// What this daemon has found sound and has not told the others yet.
     pub untold_sound: Mutex<BTreeSet<PromptPart>>,
+    /// The version of the stored record of crashes, as far as it is known.
+    pub crash_record: Mutex<StoreVersion>,
+    /// Notified when the stored record of crashes may have to be written.
+    pub crashes_changed: Notify,
     /// The requests that upstreams take from all daemons together.
     pub limits: Mutex<LimitBoard>,
     /// Limits the rate of log lines about requests and members.
