Take no status above 599 for an answer

A caller got an answer of status 600 or 999 that a worker in trouble had sent, under that status; from apricotrund as well, as the answer to a plain call. An answer of status 000 never reached a caller: the parser refuses it, and the caller gets 502 (or the answer of another worker where the request may be repeated).

Cause: the HTTP library accepts all statuses from 100 to 999, and the gateway looked only for those below 200.

The connection pool, through which answers of workers and of other hosts come, now ends the exchange as broken on a status that HTTP does not have; so do the engine client's calls. The upstream is not blamed for a crash, as it still listens. The log and apricotrun_foreign_statuses_total say when it happens.

--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -310,6 +310,8 @@
         match request.send().await {
             Ok(response) if response.status().as_u16() == 429 => Err(UpstreamFailure::Full),
             Ok(response) if response.status().as_u16() == 503 => Err(UpstreamFailure::Full),
+            // HTTP has no such status.
+            Ok(response) if response.status().as_u16() >= 600 => Err(self.diagnose(address).await),
             Ok(response) => Ok(response),
             Err(error) if error.is_connect() => Err(UpstreamFailure::NothingSent),
             Err(_) => Err(self.diagnose(address).await),
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -103,6 +103,23 @@
     pub response: Response<Incoming>,
 }
 
+impl UpstreamExchange {
+    /// Returns the exchange if the head is one of an answer. HTTP has no status above 599, and no request
+    /// asks for another protocol.
+    fn check(
+        connection: PooledConnection,
+        response: Response<Incoming>,
+    ) -> Result<Self, UpstreamFailure> {
+        let status = response.status().as_u16();
+        if (200..600).contains(&status) {
+            return Ok(Self { connection, response });
+        }
+        counter!("apricotrun_foreign_statuses_total").increment(1);
+        log::info!(upstream:% = connection.key.1, status; "channel: the status of no answer");
+        Err(UpstreamFailure::Broken)
+    }
+}
+
 impl ConnectionPool {
     /// Returns a pool without connections, which reports to `paths`.
     pub fn new(clock: Arc<dyn Clock>, paths: Option<Arc<PathWatch>>) -> Self {
@@ -125,7 +142,7 @@
         for _ in 0..MAX_REUSE_ATTEMPTS {
             let Some(mut connection) = self.take_idle(key) else { break };
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(UpstreamExchange { connection, response }),
+                Ok(response) => return UpstreamExchange::check(connection, response),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(UpstreamFailure::Broken),
@@ -149,7 +166,7 @@
             return Err(UpstreamFailure::NothingSent);
         }
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(UpstreamExchange { connection, response }),
+            Ok(response) => UpstreamExchange::check(connection, response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(UpstreamFailure::NothingSent),
                 None => Err(UpstreamFailure::Broken),
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -205,10 +205,6 @@
             Some(connection) => ConnectionPool::send_on(connection, request).await?,
             None => self.gateway.connections.send(&key, limit, request).await?,
         };
-        if exchange.response.status().is_informational() {
-            // No request asks for another protocol.
-            return Err(UpstreamFailure::Broken);
-        }
         let (parts, body) = exchange.response.into_parts();
         let head = dialect.read_response(&self.request.head.request_id, step, &parts);
         self.gateway.record_notices(now, &target.upstream, incarnation, &head);
--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -2,7 +2,7 @@
 
 use apricotrun::coordination::flow::UpstreamFailure;
 use apricotrun::state::ids::{AttemptId, RequestId};
-use apricotrun::transport::engine::{CallContext, EngineEvent, UpstreamClient};
+use apricotrun::transport::engine::{CallContext, EngineEvent, PlainCall, UpstreamClient};
 use futures::StreamExt;
 use serde_json::json;
 use standins::server::free_address;
@@ -128,6 +128,24 @@
     assert_eq!(prefill(address), Some(Ok(())));
 }
 
+/// Guards against a status that HTTP does not have and that a caller got as the answer to a plain call.
+#[test]
+fn answer_with_a_status_that_http_does_not_have_is_a_failure() {
+    for status in ["000", "600", "999"] {
+        let answer = format!("HTTP/1.1 {status} Text\r\nContent-Length: 4\r\n\r\nbody");
+        let (address, _) = RawEngine::start(&answer, false);
+        let client = UpstreamClient::new().expect("built client");
+        let call = PlainCall {
+            body: Vec::new(),
+            content_type: None,
+            method: "POST".to_owned(),
+            path: "/a".to_owned(),
+        };
+        let called = block_on(async { client.call(address, &call, &context()).await });
+        assert_eq!(called, Some(Err(UpstreamFailure::Broken)), "{status}");
+    }
+}
+
 /// Guards against memory that an engine's answer fills: an event or a prefill answer without end.
 #[test]
 fn engine_that_sends_an_event_without_end_is_given_up() {
