Take no answer without a length for whole while the request is being written

A caller got the part of an answer as a whole one: its worker had answered a long upload at once with a 200 that had no length, sent a part of the body, ended its side of the connection and reset it while the upload was still being written.

Cause: the end of the connection ends such an answer, and the reset that follows comes after the response has been read. The check that the upstream still listens passes.

The connection now records whether its last write waits or has failed. If so at the end of a success without length, the answer is in doubt and the attempt broken off.

Not covered: an upload small enough for the receive buffer of a worker that never reads it.

--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -9,13 +9,17 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -28,6 +32,9 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// How long a connection is silent before the first TCP keepalive probe, and between two probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(2);
+/// How much of a request the kernel holds that the upstream has no room for (`TCP_NOTSENT_LOWAT`). With
+/// more, a request would count as written long before its upstream has it.
+const UNSENT_BYTES: u32 = 16 * 1024;
 /// How long an idle connection is kept if the upstream sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// How long before the upstream's timeout an idle connection is closed.
@@ -67,6 +74,7 @@
     key: ConnectionKey,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    writes_wait: Arc<AtomicBool>,
 }
 
 impl Drop for PooledConnection {
@@ -240,9 +248,11 @@
                 return Err(UpstreamFailure::NothingSent);
             }
         };
+        let writes_wait = Arc::new(AtomicBool::new(false));
+        let stream = WriteWatch { inner: TokioIo::new(stream), waits: writes_wait.clone() };
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(stream)
             .await
             .map_err(|_| UpstreamFailure::NothingSent)?;
         let name = key.1.clone();
@@ -255,7 +265,8 @@
                 log::debug!("channel: a connection to {name} ended: {error}");
             }
         });
-        Ok(PooledConnection { permit, key: key.clone(), sender, task: task.abort_handle() })
+        let task = task.abort_handle();
+        Ok(PooledConnection { permit, key: key.clone(), sender, task, writes_wait })
     }
 
     fn report(&self, report: impl FnOnce(&PathWatch)) {
@@ -280,6 +291,67 @@
     pub fn address(&self) -> SocketAddr {
         self.permit.address
     }
+
+    /// Returns whether a part of the request has not been written yet, as the upstream does not read it,
+    /// or could not be written.
+    pub fn has_unwritten_request(&self) -> bool {
+        self.writes_wait.load(Ordering::Relaxed)
+    }
+}
+
+/// A connection that records whether its last write is waiting or has failed.
+struct WriteWatch<S> {
+    inner: S,
+    waits: Arc<AtomicBool>,
+}
+
+impl<S> WriteWatch<S> {
+    fn record<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.waits.store(!matches!(written, Poll::Ready(Ok(_))), Ordering::Relaxed);
+        written
+    }
+}
+
+impl<S: Read + Unpin> Read for WriteWatch<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl<S: Write + Unpin> Write for WriteWatch<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.record(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
+        self.record(written)
+    }
 }
 
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
@@ -290,5 +362,8 @@
     socket.set_tcp_keepalive(
         &TcpKeepalive::new().with_time(KEEPALIVE_PERIOD).with_interval(KEEPALIVE_PERIOD),
     )?;
+    if let Err(error) = socket.set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("channel: the kernel holds what upstreams do not read: {error}");
+    }
     Ok(stream)
 }
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -514,6 +514,11 @@
             return Err(UpstreamFailure::Broken);
         }
         let address = connection.address();
+        if connection.has_unwritten_request() {
+            // An upstream that closes its connection then resets it as well.
+            self.log_doubtful_end(address, "the request is still being written");
+            return Err(UpstreamFailure::Broken);
+        }
         let listens = tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(address)).await;
         if matches!(listens, Ok(Ok(_))) {
             return Ok(());
