Bound the lists of models and the store's responses that apricotrund reads

A report said that a faulty worker sent bytes without end and that the host which had called it kept them all. In apricotrund two readers had no limit: the list of models that it asks each engine for, and all responses of its store, whose calls end after 1 to 2 s only.

Both now read at most 4 MB and fail the call.

--- a/src/transport/consul.rs
+++ b/src/transport/consul.rs
@@ -4,7 +4,7 @@
 use crate::coordination::orders::FencingToken;
 use crate::coordination::store::{KeyStore, LeaseGrant, StoreError, StoreVersion, StoredValue};
 use crate::prelude::*;
-use crate::transport::client::client_builder;
+use crate::transport::client::{client_builder, read_bounded};
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use futures::FutureExt;
@@ -17,6 +17,8 @@
 
 /// Timeout of one call, in addition to the wait of a blocking read.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest response, in bytes; a value has at most 512 KB.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 /// The value of a lease key whose holder released the lease.
 const RELEASED: &str = "given back";
 /// The number of calls per second that one daemon may make on average.
@@ -88,8 +90,10 @@
     async fn send_put(&self, request: RequestBuilder) -> Result<bool, StoreError> {
         let response = self.send(request).await?;
         let status = response.status();
-        let text = response.text().await;
-        match text.map_err(|error| StoreError::Unknown(error.to_string()))?.trim() {
+        let bytes = read_bounded(response, MAX_RESPONSE_BYTES).await;
+        let text = bytes.and_then(|bytes| String::from_utf8(bytes).ok());
+        let unreadable = || StoreError::Unknown("the response cannot be read".to_owned());
+        match text.ok_or_else(unreadable)?.trim() {
             "true" => Ok(true),
             "false" => Ok(false),
             other => Err(StoreError::Unreachable(format!("status {status}: {other}"))),
@@ -100,7 +104,10 @@
         let body = json!({ "TTL": format!("{}s", ttl.as_secs()), "Behavior": "release" });
         let url = format!("{}/session/create", self.root);
         let response = self.send(self.client.put(url).json(&body).timeout(CALL_TIMEOUT)).await?;
-        let created: Result<CreatedSession, _> = response.json().await;
+        let bytes = read_bounded(response, MAX_RESPONSE_BYTES).await;
+        let unreadable = || StoreError::Invalid("the session cannot be read".to_owned());
+        let created: Result<CreatedSession, _> =
+            serde_json::from_slice(&bytes.ok_or_else(unreadable)?);
         created.map(|session| session.id).map_err(|e| StoreError::Invalid(e.to_string()))
     }
 
@@ -116,8 +123,9 @@
         let index = index.and_then(|value| value.to_str().ok()?.parse().ok());
         let index =
             index.ok_or_else(|| StoreError::Invalid("missing X-Consul-Index".to_owned()))?;
-        let bytes = response.bytes().await;
-        let bytes = bytes.map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        let bytes = read_bounded(response, MAX_RESPONSE_BYTES).await;
+        let unreadable = || StoreError::Unreachable("the response cannot be read".to_owned());
+        let bytes = bytes.ok_or_else(unreadable)?;
         parse_pairs(&bytes, StoreVersion::without_era(index)).map(Some)
     }
 }
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -5,7 +5,7 @@
 use crate::coordination::orders::{EngineOrder, FencingToken, ORDER_TIMEOUT, OrderOutcome};
 use crate::coordination::tickets::StoredResponse;
 use crate::prelude::*;
-use crate::transport::client::client_builder;
+use crate::transport::client::{client_builder, read_bounded};
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
@@ -29,6 +29,8 @@
 const MAX_PLAIN_BYTES: usize = 16 * 1024 * 1024;
 /// The largest response to a prefill, in bytes.
 const MAX_PREFILL_BYTES: usize = 1024 * 1024;
+/// The largest list of models, in bytes.
+const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
 /// The most bytes without a blank line in a stream of events, which is aborted after them.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -229,7 +231,8 @@
     pub async fn adapters(&self, address: SocketAddr) -> Option<BTreeSet<String>> {
         let request = self.pooled.get(format!("http://{address}/v1/models"));
         let response = request.timeout(CANCEL_TIMEOUT).send().await.ok()?;
-        let body: Value = response.error_for_status().ok()?.json().await.ok()?;
+        let body = read_bounded(response.error_for_status().ok()?, MAX_LIST_BYTES).await?;
+        let body: Value = serde_json::from_slice(&body).ok()?;
         let models = body["data"].as_array()?;
         // Of the listed models, only adapters name a parent.
         let adapters = models.iter().filter(|model| !model["parent"].is_null());
@@ -356,18 +359,6 @@
     Some(Refusal { reason, retry_after, verdict })
 }
 
-async fn read_bounded(response: Response, limit: usize) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    let mut stream = response.bytes_stream();
-    while let Some(part) = stream.next().await {
-        body.extend_from_slice(&part.ok()?);
-        if body.len() > limit {
-            return None;
-        }
-    }
-    Some(body)
-}
-
 /// An engine's stream of events is not read any further.
 #[derive(Debug, Error)]
 enum StreamError {
--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -1,7 +1,9 @@
 //! Tests of what counts as an engine's answer: its status comes first, and its size has a limit.
 
 use apricotrun::coordination::flow::UpstreamFailure;
+use apricotrun::coordination::store::KeyStore;
 use apricotrun::state::ids::{AttemptId, RequestId};
+use apricotrun::transport::consul::ConsulStore;
 use apricotrun::transport::engine::{CallContext, EngineEvent, PlainCall, UpstreamClient};
 use futures::StreamExt;
 use serde_json::json;
@@ -165,6 +167,29 @@
     assert_eq!(prefilled, Some(Err(UpstreamFailure::Broken)));
 }
 
+/// Guards against a list of models without end that filled the memory until its call timed out.
+#[test]
+fn engine_that_sends_a_list_of_models_without_end_is_given_up() {
+    let (address, sent) = RawEngine::start("HTTP/1.1 200 OK\r\n\r\n{\"data\":\"", true);
+    let client = UpstreamClient::new().expect("built client");
+    let adapters = block_on(async { client.adapters(address).await });
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent <= MAX_SENT_BYTES, "{sent} bytes were taken: {adapters:?}");
+    assert_eq!(adapters, Some(None));
+}
+
+/// The same for the store.
+#[test]
+fn store_that_sends_a_value_without_end_is_given_up() {
+    let head = "HTTP/1.1 200 OK\r\nX-Consul-Index: 1\r\n\r\n[{\"Value\":\"";
+    let (address, sent) = RawEngine::start(head, true);
+    let store = ConsulStore::new(address).expect("built client");
+    let value = block_on(store.get("a"));
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent <= MAX_SENT_BYTES, "{sent} bytes were taken");
+    assert!(matches!(value, Some(Err(_))), "{value:?}");
+}
+
 /// A long answer of small events, and one large event, are no reason to give an engine up.
 #[test]
 fn engine_whose_events_are_within_the_limit_is_read_to_its_end() {
