Take a retry for a prompt that is prefilled once more

Cause: a retry counted as one, whatever it asks of upstreams. The first prefill is free by the pages, further ones count like runs; a retry whose KV cache is gone has the prompt prefilled again and then runs, which is two arrivals.

The flow takes a second retry when it is granted a prefill worker after a prefill that was accepted. A stream of which the caller has a part goes on all the same, since it could only be cut off.

Evidence: prompt_that_is_prefilled_again_takes_a_retry_besides_that_of_its_run failed before the fix and passes.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -62,6 +62,11 @@
             // A probed failure domain granted before the one whose queue the request is in.
             self.withdraw(out);
         }
+        if grant.prefill_address.is_some() && !self.take_prefill_retry(now) {
+            self.release_grant(domain, grant, out);
+            let refusal = Refusal::not_run(RefusalReason::RetriesSpent);
+            return self.refuse(refusal.with_retry_after(RETRY_AFTER), out);
+        }
         self.cached_prefill = None;
         self.open_response(out);
         self.attempts_started += 1;
@@ -147,6 +152,7 @@
         if active.running {
             return;
         }
+        self.has_prefilled = true;
         active.running = true;
         active.cached_prefill = Some(CachedPrefill { handle: handle.clone(), expires_at });
         active.stall_deadline = due;
@@ -366,6 +372,12 @@
         self.request_admission(now, out);
     }
 
+    /// Takes a retry for a prompt that is prefilled once more: upstreams get that call besides the run.
+    /// Returns false if the budget is spent, unless the caller has a part of the stream.
+    fn take_prefill_retry(&self, now: Instant) -> bool {
+        !self.has_prefilled || self.spec.retries.try_acquire(now) || self.tokens() > 0
+    }
+
     /// Takes a retry from the budget, unless one is held that was not made.
     fn take_retry(&mut self, now: Instant) -> bool {
         std::mem::take(&mut self.holds_retry) || self.spec.retries.try_acquire(now)
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -123,6 +123,8 @@
     started: Instant,
     /// The number of attempts that were granted upstreams.
     attempts_started: u32,
+    /// Whether an upstream has prefilled the prompt.
+    has_prefilled: bool,
     /// Whether a retry has been taken from the budget that has not been made.
     holds_retry: bool,
     /// Whether [`FlowAction::UpstreamSilent`] has been returned for this attempt.
@@ -161,6 +163,7 @@
             },
             started: now,
             attempts_started: 0,
+            has_prefilled: false,
             holds_retry: false,
             silence_reported: false,
             suspect: crash_weight > 0,
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -11,6 +11,7 @@
 use apricotrun::prelude::*;
 use harness::*;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 #[test]
 fn tokens_are_forwarded_once_in_order_from_the_current_attempt() {
@@ -247,6 +248,35 @@
     assert_eq!(refusal.verdict, Verdict::NotRun, "the upstream has not executed it");
 }
 
+/// A limiter that allows this many retries.
+#[derive(Debug)]
+struct FewRetries(AtomicUsize);
+
+impl RetryLimiter for FewRetries {
+    fn try_acquire(&self, _now: Instant) -> bool {
+        self.0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1))
+            .is_ok()
+    }
+}
+
+/// Guards against review/9: a retry that has the prompt prefilled again is two calls at upstreams, and was
+/// counted as one.
+#[test]
+fn prompt_that_is_prefilled_again_takes_a_retry_besides_that_of_its_run() {
+    for (retries, is_refused) in [(1, true), (2, false)] {
+        let limiter = Arc::new(FewRetries(AtomicUsize::new(retries)));
+        let mut harness = FlowHarness::new(|spec| spec.retries = limiter.clone());
+        harness.start_decoding();
+        harness.clock.advance(SECOND);
+        let actions = harness.handle(FlowEvent::RunFailed(attempt(1), UpstreamFailure::Full));
+        assert_eq!(refusal_of(&actions), None);
+        let actions = harness.grant(2, "d1", ClaimPhase::Prefill);
+        let reason = refusal_of(&actions).map(|refusal| refusal.reason);
+        assert_eq!(reason, is_refused.then_some(RefusalReason::RetriesSpent));
+    }
+}
+
 #[test]
 fn unsent_request_consumes_no_retry() {
     for failure in [UpstreamFailure::NothingSent, UpstreamFailure::Withheld] {
