Confirm the upstream of a stream that begins while the store cannot be read

A worker came back under its id as another version while the store was down, streams began there by its old record, and when it crashed again they went on at a worker of the recorded version.

Cause: the upstream that began a stream was asked which process it is only when the stream was to go on. By then it has mostly ended, and no answer counted as no objection.

While the store cannot be read, a resumable stream now begins with that question, and its run takes the connection that was answered. If the upstream is not certain to be the recorded one, the stream is served all the same and is marked as doubtful: it goes on nowhere else, and its origin becomes unknown for the other hosts, by the messages that there are. With the store in reach nothing more is asked than before.

Between the loss of the store and its discovery, some 2 s, a stream may still begin unconfirmed.

--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -230,6 +230,12 @@
     /// Returns whether the upstream that began the stream is known, within `patience`, to have been another
     /// process than its record said.
     async fn is_writer_refuted(&self, patience: Duration) -> bool {
+        let is_doubtful = lock(&self.first_writer)
+            .as_ref()
+            .is_some_and(|writer| writer.origin.beginning.is_doubtful());
+        if is_doubtful && self.has_relayed.load(Ordering::Relaxed) {
+            return true;
+        }
         let Some(mut check) = lock(&self.writer_check).take() else { return false };
         match tokio::time::timeout(patience, &mut check).await {
             Ok(answer) => answer.unwrap_or(false),
@@ -281,7 +287,10 @@
             }
         }
         let begins = !goes_on && self.kind.is_resumable();
-        let writer = begins.then(|| self.gateway.describe_writer(run));
+        let mut writer = begins.then(|| self.gateway.describe_writer(run));
+        if let Some(writer) = &mut writer {
+            connection = self.gateway.confirm_writer(run, writer).await;
+        }
         let (exchange, head) = self.send(&run.target, step, connection).await?;
         if let Some(writer) = writer {
             let writer = self.gateway.keep_writer(&self.request.head.request_id, writer);
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -2,7 +2,9 @@
 
 use crate::coordination::flow::UpstreamFailure;
 use crate::coordination::stream_origins::OriginWriter;
-use crate::coordination::upstream_lifetimes::{LifetimeReport, StreamBeginning, is_certain};
+use crate::coordination::upstream_lifetimes::{
+    LifetimeReport, RecordedLifetime, StreamBeginning, is_certain,
+};
 use crate::prelude::*;
 use crate::transport::gateway::channels::PooledConnection;
 use crate::transport::gateway::start::Gateway;
@@ -44,6 +46,29 @@
         FirstWriter { address: *address, origin }
     }
 
+    /// Asks the upstream at which a stream is about to begin which process it is, if its record may be of an
+    /// earlier one, as the store cannot be read. Once the upstream has ended, nobody can say which version
+    /// began the stream, so a stream whose beginning is uncertain goes on nowhere else. Returns the
+    /// connection on which the upstream has answered, if it stays open.
+    pub async fn confirm_writer(
+        &self,
+        run: &RunRequest,
+        writer: &mut FirstWriter,
+    ) -> Option<PooledConnection> {
+        if lock(&self.node.versions).is_readable() {
+            return None;
+        }
+        let AttemptTarget { address, upstream, .. } = &run.target;
+        let (said, connection) = self.ask_lifetime(*address, upstream, WRITER_TIMEOUT).await;
+        let beginning = &mut writer.origin.beginning;
+        if !is_certain(beginning.recorded.as_ref(), &run.software, said) {
+            self.log_uncertain(upstream, &run.software, said);
+            let (incarnation, software) = (Incarnation::default(), SoftwareVersion::unknown());
+            beginning.recorded = Some(RecordedLifetime { incarnation, software });
+        }
+        connection
+    }
+
     /// Makes sure that the upstream at which a stream is to go on runs the software version that began it.
     /// Returns the connection on which the upstream has said which process it is, if it stays open.
     ///
