Name the time of the next trial to callers of a request that is refused

The caller of a request that had crashed its upstreams was told to come back after 0.5 s, and was refused again.

Cause: the flow looked at the weight of the crashes before it looked at the verdict, which has the time.

The log line about statuses of no answer is a debug line, as each answer of such a worker would write one.

--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -273,13 +273,13 @@
     }
 
     fn start(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
-        if self.crash_weight >= MAX_CRASH_WEIGHT {
-            return self.refuse(Refusal::not_run(RefusalReason::CrashesUpstream), out);
-        }
         if let CrashVerdict::Refused(wait) = self.spec.crash_verdict {
             let refusal = Refusal::not_run(RefusalReason::CrashesUpstream);
             return self.refuse(refusal.with_retry_after(wait), out);
         }
+        if self.crash_weight >= MAX_CRASH_WEIGHT {
+            return self.refuse(Refusal::not_run(RefusalReason::CrashesUpstream), out);
+        }
         if self.spec.domains.is_empty() {
             return self.refuse(Refusal::not_run(RefusalReason::NoUpstream), out);
         }
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -123,7 +123,7 @@
             return Ok(Self { connection, response });
         }
         counter!("apricotrun_foreign_statuses_total").increment(1);
-        log::info!(upstream:% = connection.key.1, status; "channel: the status of no answer");
+        log::debug!(upstream:% = connection.key.1, status; "channel: the status of no answer");
         Err(UpstreamFailure::Broken)
     }
 }
