--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -24,8 +24,7 @@
 const MAX_CRASHES: usize = 8;
 /// The maximum number of attempts that are kept of one crash, to recognize repeated reports.
 const MAX_ATTEMPTS: usize = 64;
-/// The maximum number of crashes in the stored record, about 40 KB. Requests with the largest weight go
-/// first.
+/// The maximum number of crashes in the stored record. Requests with the largest weight go first.
 const MAX_RECORDED: usize = 512;
 
 /// The end of an upstream under one or more requests with the same fingerprint.
