Review, case 11: two holders of orders after the store returns

A host goes on with a list of due role plans that it made before the store returned from an older copy. It makes a plan of its own for a service whose plan another host has just carried out, and orders the same workers 2.7 s later.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the cases from 11 on. They need nothing but the compiler.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+rustc --edition 2024 -O -o target/review-3/standins-3 review/standins-3/main.rs
