--- a/review/12/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-3/standins-3 ] && [ -x target/release/apricotrun-host ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-3/standins-3 left-callers review/12/record.txt "$folder"
+target/review-3/standins-3 left-callers review/15/record.txt "$folder"
