--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -10,9 +10,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How many events a stream has, and the pause between two.
-const EVENTS: usize = 8;
-const EVENT_PERIOD: Duration = Duration::from_millis(60);
+/// The streams of a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How many events a stream has.
+    pub events: usize,
+    /// The pause before each.
+    pub period: Duration,
+}
+
 /// How long a worker takes to answer an order.
 const ORDER_TIME: Duration = Duration::from_millis(350);
 
@@ -42,12 +48,20 @@
     zone: String,
     /// `prefill` or `decode`.
     stage: String,
+    pace: Pace,
     born: u64,
     state: Arc<Mutex<State>>,
 }
 
 impl Engine {
-    pub fn start(name: &str, service: &str, zone: &str, stage: &str, record: &Record) -> Self {
+    pub fn start(
+        name: &str,
+        service: &str,
+        zone: &str,
+        stage: &str,
+        pace: Pace,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a worker");
         let engine = Self {
             address: listener.local_addr().expect("the worker's address"),
@@ -55,6 +69,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             stage: stage.to_owned(),
+            pace,
             born: unix_ms(),
             state: Arc::default(),
         };
@@ -133,17 +148,21 @@
             return write_response(writer, "200 OK", &[json, ("Request-Id", id)], body.as_bytes());
         }
         record.run(id, &self.name);
+        let after: usize =
+            request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {id}\r\n\
              Server-Seal: seal-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
-        for event in 1..=EVENTS {
-            thread::sleep(EVENT_PERIOD);
+        for event in after + 1..=self.pace.events {
+            thread::sleep(self.pace.period);
             let text = format!("id: {event}\ndata: piece {event}\n\n");
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         }
-        writer.write_all(b"0\r\n\r\n")
+        writer.write_all(b"0\r\n\r\n")?;
+        record.note(&format!("{} has written all of {id}", self.name));
+        Ok(())
     }
 
     fn take_order(
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod left_callers;
+mod lost_at_stop;
 mod record;
 mod store;
 mod two_holders;
@@ -33,6 +34,7 @@
     let record = Record::new();
     let finding = match case.as_str() {
         "left-callers" => left_callers::play(&record, folder, has_trouble),
+        "lost-at-stop" => lost_at_stop::play(&record, folder, has_trouble),
         "two-holders" => two_holders::play(&record, folder, has_trouble),
         _ => Finding::CouldNotRun(format!("there is no case {case}")),
     };
--- a/review/standins-3/two_holders.rs
+++ b/review/standins-3/two_holders.rs
@@ -2,7 +2,7 @@
 //! been busy with the plan of another service meanwhile, then carries out one of its own for the same workers.
 
 use crate::Finding;
-use crate::engine::{Engine, Order};
+use crate::engine::{Engine, Order, Pace};
 use crate::host::{Host, receive, send};
 use crate::record::Record;
 use crate::store::Store;
@@ -20,6 +20,7 @@
 const AWAY: Duration = Duration::from_millis(100);
 /// The heartbeat of the workers, by which they write into the store.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const PACE: Pace = Pace { events: 8, period: Duration::from_millis(60) };
 const SERVICES: [&str; 2] = ["llm-a", "llm-b"];
 /// The callers of each service at each host.
 const CALLERS: usize = 20;
@@ -65,7 +66,7 @@
         ];
         for (name, zone, stage) in places {
             let name = format!("{service}-{name}");
-            engines.push(Engine::start(&name, service, zone, stage, record));
+            engines.push(Engine::start(&name, service, zone, stage, PACE, record));
         }
     }
     engines
