--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -28,7 +28,6 @@
     pub at: Instant,
     pub fence: u64,
     pub holder: String,
-    pub worker: String,
 }
 
 #[derive(Default)]
@@ -182,8 +181,7 @@
             self.name,
             body.get("stage").text()
         ));
-        let worker = self.name.clone();
-        state.orders.push(Order { at: Instant::now(), fence, holder, worker });
+        state.orders.push(Order { at: Instant::now(), fence, holder });
         drop(state);
         thread::sleep(ORDER_TIME);
         write_response(writer, status, &[("Content-Type", "application/json")], b"{}")
--- a/review/standins-3/host.rs
+++ b/review/standins-3/host.rs
@@ -3,9 +3,11 @@
 use crate::http::{Message, read_body, read_head};
 use std::fs;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use crate::worker::unix_ms;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,18 +17,26 @@
 /// A running host; dropping it kills the process.
 pub struct Host {
     pub frontend: SocketAddr,
-    pub name: String,
-    pub peer: SocketAddr,
     pub readiness: SocketAddr,
     process: Child,
     settings: PathBuf,
-    log: PathBuf,
 }
 
-/// Returns an address on loopback that was free a moment ago.
+/// The ports from which hosts get theirs: below those that the kernel gives to connections.
+const PORTS: std::ops::Range<u64> = 12_000..32_000;
+
+/// Returns an address on loopback that is free for TCP and UDP and that was not returned before.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 97 + unix_ms();
+    loop {
+        let number = first + LAST.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Host {
@@ -55,7 +65,7 @@
             .stderr(errors)
             .spawn()
             .expect("the host starts");
-        let host = Self { frontend, name: name.to_owned(), peer, readiness, process, settings, log };
+        let host = Self { frontend, readiness, process, settings };
         let deadline = Instant::now() + Duration::from_secs(15);
         while !host.is_ready() && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(20));
@@ -85,11 +95,6 @@
     pub fn wait(&mut self) {
         let _ = self.process.wait();
     }
-
-    /// Returns what the process has logged.
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Host {
--- a/review/standins-3/json.rs
+++ b/review/standins-3/json.rs
@@ -1,4 +1,4 @@
-//! The little JSON and Base64 that the store stand-in needs.
+//! The little JSON and Base64 that the stand-ins need.
 
 use std::collections::BTreeMap;
 
@@ -152,18 +152,3 @@
     }
     out
 }
-
-pub fn decode_base64(text: &str) -> Vec<u8> {
-    let (mut out, mut bits, mut count) = (Vec::new(), 0_u32, 0);
-    for byte in text.bytes().take_while(|byte| *byte != b'=') {
-        let Some(digit) = DIGITS.iter().position(|known| *known == byte) else { continue };
-        bits = bits << 6 | digit as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            out.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    out
-}
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's store: items, ranges, watches, transactions and leases over HTTP.
 
 use crate::http::{Message, read_request, write_response};
-use crate::json::{Json, decode_base64, encode_base64, parse};
+use crate::json::{Json, encode_base64, parse};
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -75,19 +75,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes an item as the store does when a worker's record expires.
-    pub fn remove(&self, key: &str) {
-        self.state.lock().expect("the store").content.delete(key);
-        self.changed.notify_all();
-    }
-
-    /// Returns the text of an item.
-    pub fn read(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().expect("the store");
-        let item = state.content.items.get(key)?;
-        Some(String::from_utf8_lossy(&decode_base64(&item.value)).into_owned())
-    }
-
     /// While down, the store answers 503.
     pub fn set_down(&self, down: bool) {
         self.state.lock().expect("the store").down = down;
