--- a/review/standins-3/lost_at_stop.rs
+++ b/review/standins-3/lost_at_stop.rs
@@ -62,6 +62,7 @@
         engine("d0", "decode", FAST),
         engine("d1", "decode", FAST),
         engine("d2", "decode", FAST),
+        engine("d4", "decode", FAST),
     ];
     let added = engine("d3", "decode", SLOW);
     let register = |store: &Store, engine: &Engine, sequence| {
