Decide for the upstream that is to run it whether a stopping host takes a stream

Cause: the stream was taken by the slowest tokens that the host had seen at any upstream, before it was known which one would run it, and one that had waited at the signal by the length that its caller expects.

Times of tokens are now kept for each upstream and process. The flow decides at the grant, which names the upstream, and again when the prompt has been prefilled, for all tokens that may be asked for; an upstream of which no stream was seen counts as slow as its route allows. It works because every run passes these two points, whether its request came after the signal, waited or is a retry. A stopping host that reaches no upstream passes no stream on, as the other host would choose the upstream.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -42,10 +42,10 @@
         if !self.is_current(&attempt) || !matches!(self.stage, FlowStage::Admission { .. }) {
             return self.release_grant(domain, grant, out);
         }
-        if self.stop_due().is_some_and(|due| due <= now) {
+        let is_due = self.stop_due().is_some_and(|due| due <= now);
+        if is_due || self.ends_too_late(now, &grant.claim.runner, self.spec.work.start) {
             self.release_grant(domain, grant, out);
-            self.end_for_stop(now, out);
-            return;
+            return self.refuse_for_stop(out);
         }
         let cached_prefill = self.usable_prefill(now);
         if grant.claim.phase == ClaimPhase::Transfer && cached_prefill.is_none() {
@@ -148,11 +148,15 @@
         self.awaiting_transfer = true;
         let due = self.stall_deadline(now, true);
         let expires_at = now + self.spec.prefill_retention;
-        let FlowStage::Active(active) = &mut self.stage else { return };
+        let FlowStage::Active(active) = &self.stage else { return };
         if active.running {
             return;
         }
         self.has_prefilled = true;
+        if self.ends_too_late(now, &active.grant.claim.runner, self.spec.transfer_time) {
+            return self.refuse_for_stop(out);
+        }
+        let FlowStage::Active(active) = &mut self.stage else { return };
         active.running = true;
         active.cached_prefill = Some(CachedPrefill { handle: handle.clone(), expires_at });
         active.stall_deadline = due;
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -4,7 +4,7 @@
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim,
 };
-use crate::coordination::stops::StopPlan;
+use crate::coordination::stops::{StopPlan, WorkForecast};
 use crate::prelude::*;
 use std::collections::BTreeSet;
 use std::fmt;
@@ -23,8 +23,6 @@
     pub account: AccountName,
     /// The expected length of the output.
     pub expected_output: Tokens,
-    /// How long a slow run takes, by which a host that stops decides whether to start one.
-    pub expected_work: Duration,
     /// The target for the time between two tokens; zero for calls that stream no tokens.
     pub inter_token_target: Duration,
     /// The upstreams that must not be used, because of what they said in earlier responses.
@@ -86,6 +84,8 @@
     pub tokens_per_index: u32,
     /// How urgent the request is.
     pub urgency: UrgencyRank,
+    /// How long a slow run takes, by which a host that stops decides whether to start one.
+    pub work: WorkForecast,
 }
 
 /// Limits how often requests are sent to further upstreams after their first, so that retries do
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -95,6 +95,14 @@
     Ended,
 }
 
+/// The stop of the host, as it concerns one request.
+#[derive(Clone, Copy, Debug)]
+struct HostStop {
+    /// When a run must begin, wherever that may be.
+    latest_start: Instant,
+    plan: StopPlan,
+}
+
 /// The state of one request at its entry daemon.
 #[derive(Debug)]
 pub struct RequestFlow {
@@ -133,8 +141,8 @@
     suspect: bool,
     /// Whether an upstream may have executed the request, which a refusal has to report.
     may_have_run: bool,
-    /// The plan by which the host stops, once it does.
-    stop: Option<StopPlan>,
+    /// How the host stops, once it does.
+    stop: Option<HostStop>,
     /// Whether the run waits for the KV cache of the prompt to be transferred.
     awaiting_transfer: bool,
 }
@@ -210,7 +218,9 @@
             }
             FlowEvent::CallerDisconnected => self.handle_caller_disconnected(&mut out),
             FlowEvent::HostStops(plan) => {
-                self.stop = Some(plan);
+                let work = self.spec.work.whole(now, None);
+                let latest_start = plan.latest_start(work).unwrap_or(self.started);
+                self.stop = Some(HostStop { latest_start, plan });
                 self.end_for_stop(now, &mut out);
             }
             FlowEvent::PartsRefused(parts) => self.handle_parts_refused(&parts, &mut out),
@@ -606,24 +616,37 @@
     /// answers are due, another one must be expected to end by then. A stream of which the caller has a
     /// part goes on until the process exits, since it can only be cut off.
     fn stop_due(&self) -> Option<Instant> {
-        let plan = self.stop.filter(|_| self.tokens() == 0)?;
+        let stop = self.stop.filter(|_| self.tokens() == 0)?;
         Some(match &self.stage {
-            FlowStage::Active(_) => plan.answers_due(),
-            _ => plan.latest_start(self.spec.expected_work).unwrap_or(self.started),
+            FlowStage::Active(_) => stop.plan.answers_due(),
+            _ => stop.latest_start,
         })
     }
 
+    /// Returns whether the host stops before `runner` could end a run that has `start` left until its
+    /// response begins. The upstreams of a service differ in speed, so this is asked of the one that is to
+    /// run it, and again when the prompt has been prefilled.
+    fn ends_too_late(&self, now: Instant, runner: &UpstreamName, start: Duration) -> bool {
+        let stop = self.stop.filter(|_| self.tokens() == 0);
+        let writing = || self.spec.work.writing.writing_time(now, Some(runner));
+        stop.is_some_and(|stop| !stop.plan.admits(now, start.saturating_add(writing())))
+    }
+
     /// Refuses the request if it cannot end before the host does, and returns whether it has.
     fn end_for_stop(&mut self, now: Instant, out: &mut Vec<FlowAction>) -> bool {
-        if self.stop_due().is_none_or(|due| now < due) {
-            return false;
+        let ends = self.stop_due().is_some_and(|due| now >= due);
+        if ends {
+            self.refuse_for_stop(out);
         }
+        ends
+    }
+
+    fn refuse_for_stop(&mut self, out: &mut Vec<FlowAction>) {
         self.may_have_run |= self.is_running();
         self.withdraw(out);
         self.abort(ReleaseOutcome::Cancelled, false, out);
         let refusal = Refusal::not_run(RefusalReason::Stopping);
         self.refuse(refusal.with_retry_after(STOP_RETRY_AFTER), out);
-        true
     }
 
     fn handle_tick(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -91,6 +91,8 @@
     Ready(UpstreamName),
     /// The upstream is draining and takes no new requests.
     Draining(UpstreamName),
+    /// Another process has registered under the name of the upstream.
+    Restarted(UpstreamName),
     /// The upstream's record expired during an outage of the store. It is used on until the time by
     /// which it should have registered again.
     Expired(UpstreamName),
@@ -322,6 +324,9 @@
         changes: &mut Vec<RegistryChange>,
     ) {
         let before = self.entries.get(&name).map(|entry| &entry.record);
+        if before.is_some_and(|before| before.incarnation != record.incarnation) {
+            changes.push(RegistryChange::Restarted(name.clone()));
+        }
         if before != Some(&record) {
             changes.push(match record.draining {
                 true => RegistryChange::Draining(name.clone()),
--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -1,7 +1,8 @@
 //! What a host that stops may still take, and by when it has to answer.
 
-use crate::coordination::response_times::SlowestTimes;
 use crate::prelude::*;
+use std::fmt;
+use std::sync::Arc;
 
 /// The process exits by itself this long before the platform would kill it.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
@@ -11,7 +12,7 @@
 /// How long before the exit a request is answered whose part that decides it has not done so.
 const LAST_MARGIN: Duration = Duration::from_millis(120);
 /// Slow responses take up to one and a half times what is expected of an upstream.
-const SLOWNESS: f64 = 1.5;
+pub const SLOWNESS: f64 = 1.5;
 /// The longest time that a latency target counts for. A target may be as long as the time limit of its
 /// route, and calls that would be served must not be refused while the load balancer still sends them.
 const MAX_TARGET: Duration = Duration::from_secs(3);
@@ -78,8 +79,46 @@
     (latency_target.min(MAX_TARGET) + token_time.saturating_mul(output.0)).mul_f64(SLOWNESS)
 }
 
-/// Like [`expected_work`], by the slowest responses of late, which need no margin.
-pub fn measured_work(latency_target: Duration, output: Tokens, slowest: &SlowestTimes) -> Duration {
-    let start = expected_work(latency_target, Tokens(0), Duration::ZERO).max(slowest.start);
-    start + slowest.token.unwrap_or_default().saturating_mul(output.0)
+/// Tells how long upstreams take to write the rest of a response once it has begun.
+pub trait WritingForecast: fmt::Debug + Send + Sync {
+    /// Returns the longest time that `runner` is expected to take, or that most upstreams are if it is
+    /// not known yet which one runs the request.
+    fn writing_time(&self, now: Instant, runner: Option<&UpstreamName>) -> Duration;
+}
+
+/// A [`WritingForecast`] that is the same for all upstreams.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FixedWriting(pub Duration);
+
+impl WritingForecast for FixedWriting {
+    fn writing_time(&self, _now: Instant, _runner: Option<&UpstreamName>) -> Duration {
+        self.0
+    }
+}
+
+/// What a request is expected to take, by which a host that stops decides whether to run it.
+#[derive(Clone, Debug)]
+pub struct WorkForecast {
+    /// The time from its admission until its response begins, or is complete if it is no stream.
+    pub start: Duration,
+    /// The time from then on.
+    pub writing: Arc<dyn WritingForecast>,
+}
+
+impl Default for WorkForecast {
+    fn default() -> Self {
+        Self::fixed(Duration::ZERO, Duration::ZERO)
+    }
+}
+
+impl WorkForecast {
+    /// Returns a forecast that is the same for all upstreams.
+    pub fn fixed(start: Duration, writing: Duration) -> Self {
+        Self { start, writing: Arc::new(FixedWriting(writing)) }
+    }
+
+    /// Returns how long the whole request takes.
+    pub fn whole(&self, now: Instant, runner: Option<&UpstreamName>) -> Duration {
+        self.start.saturating_add(self.writing.writing_time(now, runner))
+    }
 }
--- a/src/transport/build.rs
+++ b/src/transport/build.rs
@@ -7,7 +7,6 @@
 use crate::coordination::membership::MemberTable;
 use crate::coordination::messages::{MemberRecord, MemberState};
 use crate::coordination::request_limits::LimitBoard;
-use crate::coordination::response_times::ResponseTimes;
 use crate::coordination::software_versions::VersionHistory;
 use crate::coordination::store::{KeyStore, StoreVersion};
 use crate::coordination::stream_origins::OriginBoard;
@@ -94,7 +93,7 @@
         newer_era: Notify::new(),
         origins: Mutex::new(OriginBoard::default()),
         origin_lookups: Mutex::new(LookupTable::default()),
-        response_times: Mutex::new(ResponseTimes::default()),
+        response_times: Arc::default(),
         versions: Mutex::new(VersionHistory::default()),
         peer_keys: Mutex::new(PeerKeyring::new(settings.peer_key.clone())),
         sequence: AtomicU64::new(0),
--- a/src/transport/gateway/directory.rs
+++ b/src/transport/gateway/directory.rs
@@ -428,8 +428,14 @@
         drop(registry);
         for change in &changes {
             log_change(change);
-            if let RegistryChange::Ready(name) | RegistryChange::Draining(name) = change {
-                self.correct_origins(name);
+            match change {
+                RegistryChange::Ready(name) | RegistryChange::Draining(name) => {
+                    self.correct_origins(name);
+                }
+                RegistryChange::Gone(name) | RegistryChange::Restarted(name) => {
+                    lock(&self.node.response_times).forget(name);
+                }
+                _ => {}
             }
         }
         !changes.is_empty()
@@ -445,6 +451,7 @@
         }
         RegistryChange::Gone(name) => (name, "is gone"),
         RegistryChange::Leaving(name) => (name, "says that it is about to stop"),
+        RegistryChange::Restarted(name) => (name, "has started again"),
         RegistryChange::Quiet(name, time) => {
             let quiet_ms = time.as_millis() as u64;
             return log::info!(
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -160,7 +160,8 @@
     /// upstream.
     pub async fn pass_on(&self, refusal: &Refusal, deadline: Instant) -> RelayOutcome {
         let has_run = refusal.verdict != Verdict::NotRun;
-        if has_run || self.request.relayed || !self.gateway.paths.is_isolated() {
+        let is_stopping = self.kind.is_stream() && self.gateway.node.stop.borrow().is_some();
+        if has_run || is_stopping || self.request.relayed || !self.gateway.paths.is_isolated() {
             return RelayOutcome::NoHost;
         }
         self.gateway.relay(&self.request, deadline).await
--- a/src/transport/gateway/mod.rs
+++ b/src/transport/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod in_flight;
 pub mod lifetimes;
 pub mod notices;
+pub mod pace;
 pub mod paths;
 pub mod probes;
 pub mod registration;
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -1,12 +1,13 @@
 //! Runs one accepted request through the request flow and builds its response.
 
 use crate::coordination::flow::RequestSpec;
-use crate::coordination::stops::{STOP_RETRY_AFTER, expected_work, measured_work};
+use crate::coordination::stops::{STOP_RETRY_AFTER, WorkForecast, expected_work};
 use crate::prelude::*;
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
 use crate::transport::gateway::dialect::InboundHead;
 use crate::transport::gateway::forward::{ForwardExecutor, InboundRequest, UpstreamResponse};
 use crate::transport::gateway::in_flight::InFlightGuard;
+use crate::transport::gateway::pace::StreamPace;
 use crate::transport::gateway::relay::{RelayOutcome, refuse_relayed};
 use crate::transport::gateway::reply::{
     ResponseBody, ResponseOutcome, drop_connection_headers, refusal_response, request_task_lost,
@@ -147,6 +148,10 @@
             if self.inbound.relayed {
                 return refuse_relayed();
             }
+            // The other host places the stream, so that nothing is known of the upstream that writes it.
+            if self.rule.kind.is_stream() && self.gateway.node.stop.borrow().is_some() {
+                return self.refuse_for_stop();
+            }
             match self.gateway.relay(&self.inbound, self.deadline).await {
                 // The request is refused below, unless a path has opened meanwhile.
                 RelayOutcome::NoHost => {}
@@ -284,34 +289,36 @@
         identity.map_or(&self.gateway.account, |identity| &identity.account.name).clone()
     }
 
-    /// Returns how long the request is expected to take, by the slowest responses of late. Without any,
-    /// a stream is taken to come as slowly as its route allows. A request that comes during a stop goes
-    /// elsewhere at little cost, so its whole limit counts; one that came before would lose its place.
-    fn estimate_work(
-        &self,
-        template: &ServiceTemplate,
-        expected_output: Tokens,
-        max_output: Tokens,
-    ) -> Duration {
-        let (target, node) = (self.rule.latency_target, &self.gateway.node);
-        let slowest = lock(&node.response_times).slowest(self.accepted, &template.service);
+    /// Returns how long the request takes at most, by the slowest responses of late. All tokens that a
+    /// stream may ask for count: a caller that is refused by a stopping host goes elsewhere at little cost,
+    /// one whose stream is cut off loses all.
+    fn forecast_work(&self, service: &ServiceName) -> WorkForecast {
+        let node = &self.gateway.node;
+        let slowest = lock(&node.response_times).slowest(self.accepted, service);
         let slowest = slowest.unwrap_or_default();
+        let start = expected_work(self.rule.latency_target, Tokens(0), Duration::ZERO);
+        let start = start.max(slowest.start);
         if !self.rule.kind.is_stream() {
-            return measured_work(target, Tokens(0), &slowest);
+            return WorkForecast::fixed(start, Duration::ZERO);
         }
-        if max_output == Tokens(0) {
+        let shape = self.inbound.head.prompt.as_ref();
+        let tokens = shape.map_or(Tokens(0), |shape| shape.max_output);
+        let left = self.deadline.saturating_duration_since(self.accepted);
+        if tokens == Tokens(0) {
             // Its caller has named no length.
-            return self.deadline.saturating_duration_since(self.accepted);
+            return WorkForecast::fixed(start, left);
         }
-        let output = if node.stop.borrow().is_some() { max_output } else { expected_output };
-        if slowest.token.is_some() {
-            return measured_work(target, output, &slowest);
-        }
-        let engine = self.routes.services.get(&template.service).and_then(|known| known.engine);
+        let engine = self.routes.services.get(service).and_then(|known| known.engine);
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         let gap = self.rule.inter_event_target.map(|gap| gap / tokens_per_event);
-        let token_time = gap.or(template.token_time).unwrap_or_default();
-        expected_work(target, output, token_time).max(slowest.start)
+        let allowed = gap.map(|gap| expected_work(Duration::ZERO, tokens, gap));
+        let pace = StreamPace {
+            longest: allowed.map_or(left, |allowed| allowed.min(left)),
+            service: service.clone(),
+            times: node.response_times.clone(),
+            tokens,
+        };
+        WorkForecast { start, writing: Arc::new(pace) }
     }
 
     /// Returns a digest of what makes the request the same as an earlier one: hosts of d88e3f8 know no
@@ -359,7 +366,6 @@
             account: self.account(),
             avoid,
             expected_output,
-            expected_work: self.estimate_work(template, expected_output, max_output),
             inter_token_target: self.rule.inter_event_target.unwrap_or_default(),
             crash_weight,
             deadline: self.deadline,
@@ -387,6 +393,7 @@
             stall_limit: stall_limit(&self.rule),
             urgency: self.urgency().unwrap_or_default(),
             tokens_per_index: engine.map_or(1, |engine| engine.tokens_per_event.max(1)),
+            work: self.forecast_work(service),
         })
     }
 }
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -1,7 +1,7 @@
 //! OpenAI-compatible completions and chat completions, streamed or as one JSON body.
 
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
-use crate::coordination::stops::expected_work;
+use crate::coordination::stops::{WorkForecast, expected_work};
 use crate::prelude::*;
 use crate::transport::http::head::{AdmittedRequest, RequestHead, admit, read_body};
 use crate::transport::http::reply::{CallerReply, ProblemReply, problem_body};
@@ -250,11 +250,11 @@
     let fingerprint = Fingerprint::of(&[service, prompt.as_bytes()]);
     let (crash_verdict, crash_weight) = node.check_crashes(now, &fingerprint, &parts);
     let token_time = template.token_time.unwrap_or(template.inter_token_target);
+    let work = expected_work(template.first_token_target, limit, token_time);
     RequestSpec {
         account: account.clone(),
         avoid: Vec::new(),
         expected_output: limit,
-        expected_work: expected_work(template.first_token_target, limit, token_time),
         inter_token_target: template.inter_token_target.max(Duration::from_millis(1)),
         crash_weight,
         deadline: now + template.deadline,
@@ -282,6 +282,7 @@
         stall_limit: None,
         urgency: UrgencyRank::default(),
         tokens_per_index: 1,
+        work: WorkForecast::fixed(work, Duration::ZERO),
     }
 }
 
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -2,7 +2,7 @@
 
 use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
-use crate::coordination::stops::expected_work;
+use crate::coordination::stops::{WorkForecast, expected_work};
 use crate::coordination::tickets::{StoredResponse, TicketDecision, TicketId, TicketResult};
 use crate::prelude::*;
 use crate::transport::engine::PlainCall;
@@ -225,11 +225,11 @@
     let template = &plain.template;
     let fingerprint = plain.fingerprint();
     let (crash_verdict, crash_weight) = node.check_crashes(now, &fingerprint, &[]);
+    let start = expected_work(template.first_token_target, Tokens(0), Duration::ZERO);
     RequestSpec {
         account: plain.account.clone(),
         avoid: Vec::new(),
         expected_output: Tokens(0),
-        expected_work: expected_work(template.first_token_target, Tokens(0), Duration::ZERO),
         inter_token_target: Duration::ZERO,
         crash_weight,
         deadline: now + template.deadline,
@@ -256,6 +256,7 @@
         software: None,
         stall_limit: None,
         urgency: UrgencyRank::default(),
+        work: WorkForecast::fixed(start, Duration::ZERO),
         tokens_per_index: 1,
     }
 }
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -109,7 +109,7 @@
     /// The plan by which the daemon stops, once it does and the platform limits the time for it.
     pub stop: watch::Sender<Option<StopPlan>>,
     /// How long the requests of each service have lately taken here.
-    pub response_times: Mutex<ResponseTimes>,
+    pub response_times: Arc<Mutex<ResponseTimes>>,
     /// Notified when an operator asks the daemon to stop.
     pub stop_requested: Notify,
     /// Whether the daemon refuses new requests while it finishes those in flight.
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -113,6 +113,7 @@
         prompt,
         service,
         software: SoftwareVersion::default(),
+        sole_writer: None,
         task: None,
         tokens_per_event,
         trace,
@@ -153,6 +154,8 @@
     service: ServiceName,
     /// The software version of the upstream that runs the latest attempt.
     software: SoftwareVersion,
+    /// The upstream that has written all of the output; `None` if another one began it.
+    sole_writer: Option<UpstreamName>,
     task: Option<AbortHandle>,
     tokens_per_event: u32,
     trace: Box<dyn RequestTrace>,
@@ -481,6 +484,7 @@
         self.begin_span("run");
         self.prefilled = handle.is_some();
         let Some(runner) = self.claim.as_ref().map(|claim| claim.runner.clone()) else { return };
+        self.sole_writer = (self.flow.tokens() == 0).then(|| runner.clone());
         let run = RunRequest {
             first_token: from,
             handle,
@@ -511,6 +515,7 @@
             events,
             start: first - self.accepted,
             tokens: written.min(allowed),
+            upstream: self.sole_writer.clone(),
             writing: last - first,
         };
         lock(&self.node.response_times).record(now, &self.service, &sample);
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -16,6 +16,7 @@
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
+use apricotrun::coordination::stops::WorkForecast;
 use apricotrun::prelude::*;
 use apricotrun::state::fleet::AccountQuota;
 use std::collections::{BTreeMap, BTreeSet};
@@ -272,7 +273,6 @@
             account: account_name(arrival.account),
             avoid: Vec::new(),
             expected_output: Tokens(arrival.output),
-            expected_work: Duration::ZERO,
             inter_token_target: Duration::from_secs_f64(self.mix.inter_token_target),
             crash_weight: 0,
             deadline: at(self.mix.deadline),
@@ -300,6 +300,7 @@
             stall_limit: None,
             urgency: UrgencyRank::default(),
             tokens_per_index: 1,
+            work: WorkForecast::default(),
         }
     }
 
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -5,6 +5,7 @@
     FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries,
 };
 use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ShardMessage, SlotClaim};
+use apricotrun::coordination::stops::WorkForecast;
 use apricotrun::prelude::*;
 use apricotrun::state::clock::ManualClock;
 use std::sync::Arc;
@@ -35,7 +36,6 @@
             account: "desk".parse().expect("valid name"),
             avoid: Vec::new(),
             expected_output: Tokens(100),
-            expected_work: Duration::ZERO,
             inter_token_target: MILLI * 30,
             crash_weight: 0,
             deadline: now + SECOND * 60,
@@ -63,6 +63,7 @@
             stall_limit: None,
             urgency: UrgencyRank::default(),
             tokens_per_index: 1,
+            work: WorkForecast::default(),
         };
         change(&mut spec);
         Self { flow: RequestFlow::new(now, spec), clock, local_domain: domain("tyrol-a") }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -7,7 +7,7 @@
     FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
 use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage};
-use apricotrun::coordination::stops::{STOP_RETRY_AFTER, StopPlan};
+use apricotrun::coordination::stops::{STOP_RETRY_AFTER, StopPlan, WorkForecast, WritingForecast};
 use apricotrun::prelude::*;
 use harness::*;
 use std::sync::Arc;
@@ -771,7 +771,7 @@
 fn stopping_host_starts_no_run_that_cannot_end_in_time() {
     let mut harness = FlowHarness::new(|spec| {
         spec.domains.truncate(1);
-        spec.expected_work = MILLI * 1_500;
+        spec.work = WorkForecast::fixed(MILLI * 1_500, Duration::ZERO);
     });
     let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
     assert!(harness.handle(FlowEvent::HostStops(plan)).is_empty());
@@ -784,12 +784,48 @@
     assert!(harness.flow.is_ended());
 }
 
+/// The upstream `d1` takes 5 s for the output, the others 1 s.
+#[derive(Debug)]
+struct OneSlowUpstream;
+
+impl WritingForecast for OneSlowUpstream {
+    fn writing_time(&self, _now: Instant, runner: Option<&UpstreamName>) -> Duration {
+        SECOND * if runner.is_some_and(|runner| runner.as_str() == "d1") { 5 } else { 1 }
+    }
+}
+
+/// Guards against a stream that a slower upstream runs than the one that its host had in mind, whether it
+/// came after the signal, waited at it or was being prefilled.
+#[test]
+fn stopping_host_starts_no_run_at_an_upstream_that_cannot_end_in_time() {
+    for (runner, prefill_time, is_run) in
+        [("d0", SECOND, true), ("d1", SECOND, false), ("d1", SECOND * 3, false)]
+    {
+        let mut harness = FlowHarness::new(|spec| {
+            spec.domains.truncate(1);
+            spec.work = WorkForecast { start: SECOND, writing: Arc::new(OneSlowUpstream) };
+        });
+        let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
+        harness.handle(FlowEvent::Start);
+        harness.handle(FlowEvent::HostStops(plan));
+        let granted_after = if prefill_time == SECOND { SECOND * 2 } else { SECOND };
+        harness.clock.advance(granted_after);
+        let mut actions = harness.grant(1, runner, ClaimPhase::Prefill);
+        harness.clock.advance(prefill_time);
+        let prefilled = FlowEvent::PrefillDone(attempt(1), KvHandle("kv".to_owned()));
+        actions.extend(harness.handle(prefilled));
+        let started = |action: &FlowAction| matches!(action, FlowAction::StartRun { .. });
+        assert_eq!(actions.iter().any(started), is_run, "{runner}: {actions:?}");
+        assert_eq!(refusal_of(&actions), (!is_run).then(stopping), "{runner}: {actions:?}");
+    }
+}
+
 /// Guards against a request that waits while its time to run passes.
 #[test]
 fn waiting_request_is_refused_when_it_can_no_longer_end_before_the_host() {
     let mut harness = FlowHarness::new(|spec| {
         spec.domains.truncate(1);
-        spec.expected_work = SECOND;
+        spec.work = WorkForecast::fixed(SECOND, Duration::ZERO);
     });
     let plan = StopPlan::new(harness.clock.now(), SECOND * 8);
     harness.handle(FlowEvent::Start);
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -10,6 +10,7 @@
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
+use apricotrun::coordination::stops::WorkForecast;
 use apricotrun::prelude::*;
 use apricotrun::state::fleet::AccountQuota;
 use standins::fixtures::upstream;
@@ -191,7 +192,6 @@
             account: "desk".parse().expect("valid name"),
             avoid: Vec::new(),
             expected_output: Tokens(OUTPUT_TOKENS),
-            expected_work: Duration::ZERO,
             inter_token_target: Duration::from_millis(30),
             crash_weight: 0,
             deadline: self.now + Duration::from_secs(20),
@@ -219,6 +219,7 @@
             stall_limit: None,
             urgency: UrgencyRank::default(),
             tokens_per_index: 1,
+            work: WorkForecast::default(),
         };
         let request = SimulatedRequest {
             emitted: 0,
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -48,6 +48,7 @@
         events,
         start: MILLI * start,
         tokens: Tokens(tokens),
+        upstream: None,
         writing: MILLI * writing,
     };
     let mut record = |at, sample| times.record(now + SECOND * at, &service, &sample);
@@ -63,3 +64,28 @@
     assert_eq!(slowest(60), None, "too old");
     assert_eq!(times.slowest(now, &"other".parse().expect("valid name")), None);
 }
+
+/// Guards against an upstream that counts as fast because another one is, or was before it started again.
+#[test]
+fn times_of_a_token_are_kept_for_each_upstream() {
+    let (now, service) = (Instant::now(), "llm".parse().expect("valid name"));
+    let [fast, slow, added] = ["d0", "d1", "d2"].map(|name| name.parse().expect("valid name"));
+    let mut times = ResponseTimes::default();
+    for (upstream, millis) in [(&fast, 20), (&slow, 50), (&slow, 40)] {
+        let sample = ResponseSample {
+            events: 100,
+            start: SECOND,
+            tokens: Tokens(100),
+            upstream: Some(UpstreamName::clone(upstream)),
+            writing: MILLI * millis * 100,
+        };
+        times.record(now, &service, &sample);
+    }
+    let token_at = |at, upstream| times.slowest_token_at(now + SECOND * at, &service, upstream);
+    assert_eq!(token_at(59, &fast), Some(MILLI * 20));
+    assert_eq!(token_at(59, &slow), Some(MILLI * 50));
+    assert_eq!(token_at(59, &added), None);
+    times.forget(&slow);
+    assert_eq!(times.slowest_token_at(now + SECOND * 59, &service, &slow), None);
+    assert_eq!(times.slowest_token_at(now + SECOND * 60, &service, &fast), None, "too old");
+}
