End calls with their callers unless they have been sent

Cause: a call that may run once outlived its caller from its first grant on, although nothing had been sent and nobody could ask for its response. When the connection to a dark worker failed after 400 ms, it asked for another worker. Ruled out: a late notice of the disconnect (logged as "the caller left" 200 ms before the next grant).

DisconnectPolicy separates finishing what has been sent from going on without a caller, which only calls with a ticket do. A gate settles once whether a run has been sent, so that neither side has to guess while a connection is opened; a run that goes on without a caller is the last one.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -358,6 +358,9 @@
     /// Requests admission to other upstreams, or refuses the request when a limit forbids another
     /// attempt. `received` says whether the failed upstream received the request.
     fn retry_elsewhere(&mut self, now: Instant, received: bool, out: &mut Vec<FlowAction>) {
+        if self.is_last_run {
+            return self.refuse(Refusal::not_run(RefusalReason::UpstreamFailed), out);
+        }
         let exhausted = self.runs > 0 && (!self.spec.retryable || self.runs >= self.spec.max_runs);
         if exhausted {
             return self.refuse(Refusal::not_run(RefusalReason::UpstreamFailed), out);
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -61,9 +61,8 @@
     pub prompt: Tokens,
     /// The longest output that the request allows.
     pub max_output: Tokens,
-    /// Whether an attempt goes on after the caller has disconnected, so that a repetition of the
-    /// request can be given its response.
-    pub outlives_caller: bool,
+    /// What becomes of the request when its caller disconnects.
+    pub after_disconnect: DisconnectPolicy,
     /// Whether the request may be retried after an attempt that may have executed it.
     pub retryable: bool,
     /// The interval of progress reports to the shard owner; `None` if none are sent.
@@ -88,6 +87,19 @@
     pub work: WorkForecast,
 }
 
+/// What becomes of a request whose caller has disconnected. One that waits for a grant ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DisconnectPolicy {
+    /// It ends, and its run is cancelled.
+    Cancel,
+    /// A run that has been sent goes on, as nobody could tell how far it had come. Nothing else is
+    /// sent.
+    FinishRun,
+    /// Its attempt goes on, and others follow if that fails: a repetition of the request can be given
+    /// its response.
+    GoOn,
+}
+
 /// Limits how often requests are sent to further upstreams after their first, so that retries do
 /// not multiply the load on an overloaded or failing service.
 pub trait RetryLimiter: fmt::Debug + Send + Sync {
@@ -161,7 +173,10 @@
     /// The decode worker or plain upstream failed.
     RunFailed(AttemptId, UpstreamFailure),
     /// The caller has disconnected.
-    CallerDisconnected,
+    CallerDisconnected {
+        /// Whether the current run may have been sent. Otherwise it will not be.
+        is_sent: bool,
+    },
     /// The host stops by this plan.
     HostStops(StopPlan),
     /// The shard may have a new owner.
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -9,7 +9,8 @@
 mod silence;
 
 pub use events::{
-    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries, UpstreamFailure,
+    DisconnectPolicy, FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UnlimitedRetries,
+    UpstreamFailure,
 };
 
 use crate::coordination::crashing_parts::{CrashVerdict, FIRST_TRIAL_DELAY};
@@ -139,6 +140,8 @@
     silence_reported: bool,
     /// Whether the request is suspected of crashing its upstreams.
     suspect: bool,
+    /// Whether the request ends with its current run, as its caller has disconnected.
+    is_last_run: bool,
     /// Whether an upstream may have executed the request, which a refusal has to report.
     may_have_run: bool,
     /// How the host stops, once it does.
@@ -172,6 +175,7 @@
             started: now,
             attempts_started: 0,
             has_prefilled: false,
+            is_last_run: false,
             holds_retry: false,
             silence_reported: false,
             suspect: crash_weight > 0,
@@ -216,7 +220,9 @@
             FlowEvent::RunFailed(attempt, failure) => {
                 self.fail_attempt(now, &attempt, failure, ReleaseOutcome::RunnerLost, &mut out);
             }
-            FlowEvent::CallerDisconnected => self.handle_caller_disconnected(&mut out),
+            FlowEvent::CallerDisconnected { is_sent } => {
+                self.handle_caller_disconnected(is_sent, &mut out);
+            }
             FlowEvent::HostStops(plan) => {
                 let work = self.spec.work.whole(now, None);
                 let latest_start = plan.latest_start(work).unwrap_or(self.started);
@@ -254,6 +260,11 @@
         self.spec.deadline
     }
 
+    /// Returns what becomes of the request when its caller disconnects.
+    pub fn after_disconnect(&self) -> DisconnectPolicy {
+        self.spec.after_disconnect
+    }
+
     /// Returns whether the request has completed, failed or lost its caller.
     pub fn is_ended(&self) -> bool {
         matches!(self.stage, FlowStage::Ended)
@@ -585,9 +596,14 @@
         ));
     }
 
-    fn handle_caller_disconnected(&mut self, out: &mut Vec<FlowAction>) {
-        if self.spec.outlives_caller && matches!(self.stage, FlowStage::Active(_)) {
-            // A repetition of the request with its ticket returns the stored response.
+    fn handle_caller_disconnected(&mut self, is_sent: bool, out: &mut Vec<FlowAction>) {
+        let goes_on = match self.spec.after_disconnect {
+            DisconnectPolicy::Cancel => false,
+            DisconnectPolicy::FinishRun => is_sent && self.is_running(),
+            DisconnectPolicy::GoOn => matches!(self.stage, FlowStage::Active(_)),
+        };
+        if goes_on {
+            self.is_last_run = self.spec.after_disconnect == DisconnectPolicy::FinishRun;
             return;
         }
         self.may_have_run |= self.is_running();
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -4,6 +4,7 @@
 use crate::prelude::*;
 use crate::transport::gateway::paths::PathWatch;
 use crate::transport::node::lock;
+use crate::transport::runs::SendGate;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -135,8 +136,8 @@
         Self { clock, idle: Mutex::new(BTreeMap::new()), open, paths }
     }
 
-    /// Sends a request to an upstream and waits for the response head. At most `limit` connections
-    /// to the upstream's address are open at a time.
+    /// Sends a request to an upstream, unless the gate forbids it once there is a connection, and waits for
+    /// the response head. At most `limit` connections to the upstream's address are open at a time.
     ///
     /// # Errors
     ///
@@ -146,9 +147,13 @@
         key: &ConnectionKey,
         limit: usize,
         mut request: Request<Full<Bytes>>,
+        gate: &SendGate,
     ) -> Result<UpstreamExchange, UpstreamFailure> {
         for _ in 0..MAX_REUSE_ATTEMPTS {
             let Some(mut connection) = self.take_idle(key) else { break };
+            if !gate.begin() {
+                return Err(UpstreamFailure::NothingSent);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return UpstreamExchange::check(connection, response),
                 Err(mut error) => match error.take_message() {
@@ -157,7 +162,7 @@
                 },
             }
         }
-        Self::send_on(self.open(key, limit).await?, request).await
+        Self::send_on(self.open(key, limit).await?, request, gate).await
     }
 
     /// Sends a request on this connection and no other, and so to the process that is known to be there.
@@ -168,9 +173,10 @@
     pub async fn send_on(
         mut connection: PooledConnection,
         request: Request<Full<Bytes>>,
+        gate: &SendGate,
     ) -> Result<UpstreamExchange, UpstreamFailure> {
         // The connection may still be ending the response before.
-        if connection.sender.ready().await.is_err() {
+        if connection.sender.ready().await.is_err() || !gate.begin() {
             return Err(UpstreamFailure::NothingSent);
         }
         match connection.sender.try_send_request(request).await {
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -18,7 +18,7 @@
 use crate::transport::gateway::window::StreamWindow;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
-use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
+use crate::transport::runs::{AttemptTarget, RunRequest, SendGate, UpstreamExecutor};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
@@ -203,8 +203,8 @@
         let limit = self.gateway.connection_limit(&target.upstream);
         let key = (target.address, target.upstream.clone());
         let exchange = match connection {
-            Some(connection) => ConnectionPool::send_on(connection, request).await?,
-            None => self.gateway.connections.send(&key, limit, request).await?,
+            Some(connection) => ConnectionPool::send_on(connection, request, &target.gate).await?,
+            None => self.gateway.connections.send(&key, limit, request, &target.gate).await?,
         };
         let (parts, body) = exchange.response.into_parts();
         let head = dialect.read_response(&self.request.head.request_id, step, &parts);
@@ -377,7 +377,8 @@
         }
         let limit = self.gateway.connection_limit(&result.upstream);
         let key = (result.address, result.upstream);
-        let freed = self.gateway.connections.send(&key, limit, request);
+        let gate = SendGate::default();
+        let freed = self.gateway.connections.send(&key, limit, request, &gate);
         match tokio::time::timeout(FREE_TIMEOUT, freed).await {
             Ok(Ok(_)) => {}
             Ok(Err(failure)) => {
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -10,7 +10,7 @@
 use crate::transport::gateway::start::Gateway;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
-use crate::transport::runs::{AttemptTarget, RunRequest};
+use crate::transport::runs::{AttemptTarget, RunRequest, SendGate};
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -192,7 +192,8 @@
         request.headers_mut().insert(header::HOST, host);
         let key = (address, upstream.clone());
         let limit = self.connection_limit(upstream);
-        let exchange = self.connections.send(&key, limit, request).await.ok()?;
+        let exchange =
+            self.connections.send(&key, limit, request, &SendGate::default()).await.ok()?;
         let (head, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
         let report = self.dialect.read_report(&head, &body)?;
--- a/src/transport/gateway/relay.rs
+++ b/src/transport/gateway/relay.rs
@@ -8,6 +8,7 @@
 use crate::transport::gateway::reply::{ResponseBody, refusal_response};
 use crate::transport::gateway::start::Gateway;
 use crate::transport::node::lock;
+use crate::transport::runs::SendGate;
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::Full;
@@ -79,7 +80,8 @@
             request.headers_mut().insert(RELAYED, HeaderValue::from(inbound.revision.0));
             self.dialect.write_timeout(left, request.headers_mut());
             let key = (record.http, name);
-            let sent = self.relay_connections.send(&key, CONNECTION_LIMIT, request);
+            let gate = SendGate::default();
+            let sent = self.relay_connections.send(&key, CONNECTION_LIMIT, request, &gate);
             match timeout(left, sent).await {
                 Ok(Ok(exchange)) if exchange.response.headers().contains_key(&RELAYED) => {
                     self.relays.avoid(now, record.http);
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -1,6 +1,6 @@
 //! Runs one accepted request through the request flow and builds its response.
 
-use crate::coordination::flow::RequestSpec;
+use crate::coordination::flow::{DisconnectPolicy, RequestSpec};
 use crate::coordination::stops::{STOP_RETRY_AFTER, WorkForecast, expected_work};
 use crate::prelude::*;
 use crate::state::routes::{RouteKind, RouteRule, RouteTable};
@@ -378,7 +378,7 @@
             max_output,
             transfer_time: template.link_tokens_per_second.time_for(prompt_tokens),
             origin_lifetime: self.rule.kind.is_resumable().then(|| origin_lifetime(&self.rule)),
-            outlives_caller: !self.rule.kind.is_stream() && !self.rule.kind.is_retryable(),
+            after_disconnect: after_disconnect(self.rule.kind),
             prefill_time: template.prefill_tokens_per_second.time_for(prompt_tokens),
             crash_verdict,
             parts: parts.to_vec(),
@@ -503,6 +503,15 @@
     (rule.timeout * 2).max(MIN_ORIGIN_LIFETIME)
 }
 
+/// Returns what becomes of a request whose caller has disconnected. A call that may run once is not broken
+/// off halfway, and no repetition of it could be given its response.
+fn after_disconnect(kind: RouteKind) -> DisconnectPolicy {
+    match kind {
+        RouteKind::NonIdempotent => DisconnectPolicy::FinishRun,
+        RouteKind::Idempotent | RouteKind::Stream { .. } => DisconnectPolicy::Cancel,
+    }
+}
+
 /// Returns how long an upstream may be silent before it counts as failed. A call that runs at most
 /// once has no limit, as no other upstream may run it.
 fn stall_limit(rule: &RouteRule) -> Option<Duration> {
--- a/src/transport/http/completions.rs
+++ b/src/transport/http/completions.rs
@@ -1,6 +1,6 @@
 //! OpenAI-compatible completions and chat completions, streamed or as one JSON body.
 
-use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
+use crate::coordination::flow::{DisconnectPolicy, RequestSpec, UnlimitedRetries};
 use crate::coordination::stops::{WorkForecast, expected_work};
 use crate::prelude::*;
 use crate::transport::http::head::{AdmittedRequest, RequestHead, admit, read_body};
@@ -272,7 +272,7 @@
         prompt: length,
         max_output: limit,
         origin_lifetime: None,
-        outlives_caller: false,
+        after_disconnect: DisconnectPolicy::Cancel,
         retryable: true,
         progress_period: None,
         retries: Arc::new(UnlimitedRetries),
--- a/src/transport/http/services.rs
+++ b/src/transport/http/services.rs
@@ -1,6 +1,6 @@
 //! Proxies calls to plain services, and issues tickets for calls that must not run twice.
 
-use crate::coordination::flow::{RequestSpec, UnlimitedRetries};
+use crate::coordination::flow::{DisconnectPolicy, RequestSpec, UnlimitedRetries};
 use crate::coordination::messages::MemberState;
 use crate::coordination::stops::{WorkForecast, expected_work};
 use crate::coordination::tickets::{StoredResponse, TicketDecision, TicketId, TicketResult};
@@ -247,7 +247,7 @@
         prompt: Tokens(0),
         max_output: Tokens(0),
         origin_lifetime: None,
-        outlives_caller: !retryable,
+        after_disconnect: if retryable { DisconnectPolicy::Cancel } else { DisconnectPolicy::GoOn },
         retryable,
         progress_period: None,
         retries: Arc::new(UnlimitedRetries),
--- a/src/transport/requests.rs
+++ b/src/transport/requests.rs
@@ -1,7 +1,7 @@
 //! Runs one request: passes events to its [`RequestFlow`] and executes the actions that it returns.
 
 use crate::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
+    DisconnectPolicy, FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UpstreamFailure,
 };
 use crate::coordination::messages::{
     ClaimPhase, CrashReport, ReleaseOutcome, ShardMessage, SlotClaim, StreamOrigin,
@@ -14,7 +14,7 @@
 use crate::transport::engine::CallContext;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::{DaemonNode, lock, wait_for_plan};
-use crate::transport::runs::{AttemptTarget, RunRequest, UpstreamExecutor};
+use crate::transport::runs::{AttemptTarget, RunRequest, SendGate, UpstreamExecutor};
 use crate::transport::spans::RequestTrace;
 use metrics::{counter, histogram};
 use std::net::SocketAddr;
@@ -103,6 +103,7 @@
         origin_lifetime: spec.origin_lifetime,
         attempt_sender,
         flow: RequestFlow::new(now, spec),
+        gate: Arc::default(),
         request_id: request_id.to_owned(),
         latency,
         delivery_failed: false,
@@ -140,6 +141,8 @@
     deadline: Instant,
     fingerprint: Fingerprint,
     flow: RequestFlow,
+    /// Says whether the current attempt may be sent.
+    gate: Arc<SendGate>,
     /// The caller's id of the request, for the log.
     request_id: String,
     latency: LatencyRecord,
@@ -185,7 +188,7 @@
             }
             if self.delivery_failed && !disconnect_reported {
                 disconnect_reported = true;
-                event = FlowEvent::CallerDisconnected;
+                event = self.end_sending();
                 continue;
             }
             if let Some(start) = next.take() {
@@ -211,7 +214,7 @@
                 () = self.parts.closed(), if !disconnect_reported => {
                     disconnect_reported = true;
                     self.log_disconnect();
-                    FlowEvent::CallerDisconnected
+                    self.end_sending()
                 }
             };
         }
@@ -240,8 +243,12 @@
                 self.count_wasted_prefill(reuses_prefill);
                 self.abort(domain, attempt, upstreams, outcome);
             }
-            FlowAction::StartPrefill(attempt, address) => self.start_prefill(attempt, address),
+            FlowAction::StartPrefill(attempt, address) => {
+                self.gate = Arc::default();
+                self.start_prefill(attempt, address);
+            }
             FlowAction::StartRun { attempt, address, handle, from, software } => {
+                self.gate = Arc::default();
                 self.software = software;
                 if from == 0 {
                     self.record_origin();
@@ -273,6 +280,13 @@
         }
     }
 
+    /// Reports that the caller has disconnected. From now on the current attempt is not sent, if it has not
+    /// been and nobody can ask for its response.
+    fn end_sending(&self) -> FlowEvent {
+        let may_go_on = self.flow.after_disconnect() == DisconnectPolicy::GoOn;
+        FlowEvent::CallerDisconnected { is_sent: may_go_on || !self.gate.close() }
+    }
+
     /// Sends a part to the caller. A caller that neither reads nor disconnects is abandoned shortly
     /// after the deadline. Nothing is sent after an undelivered part, so that no response has a
     /// gap.
@@ -401,7 +415,8 @@
         upstream: UpstreamName,
     ) -> AttemptTarget {
         let context = self.context(attempt);
-        AttemptTarget { address, context, deadline: self.deadline, upstream }
+        let gate = self.gate.clone();
+        AttemptTarget { address, context, deadline: self.deadline, gate, upstream }
     }
 
     fn claim(&mut self, domain: &DomainName, claim: SlotClaim) {
--- a/src/transport/runs.rs
+++ b/src/transport/runs.rs
@@ -25,10 +25,44 @@
     pub context: CallContext,
     /// The deadline of the request.
     pub deadline: Instant,
+    /// Says whether the attempt may still be sent.
+    pub gate: Arc<SendGate>,
     /// The name of the upstream, unique within its service.
     pub upstream: UpstreamName,
 }
 
+/// Decides once whether an attempt is sent: its executor begins to, or its request forbids it before.
+#[derive(Debug, Default)]
+pub struct SendGate(Mutex<SendState>);
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum SendState {
+    #[default]
+    Open,
+    Begun,
+    Closed,
+}
+
+impl SendGate {
+    /// Records that a byte of the attempt is about to be sent. Returns false if none may be.
+    pub fn begin(&self) -> bool {
+        let mut state = lock(&self.0);
+        if *state == SendState::Open {
+            *state = SendState::Begun;
+        }
+        *state == SendState::Begun
+    }
+
+    /// Forbids to send the attempt. Returns false if that has begun.
+    pub fn close(&self) -> bool {
+        let mut state = lock(&self.0);
+        if *state == SendState::Open {
+            *state = SendState::Closed;
+        }
+        *state == SendState::Closed
+    }
+}
+
 /// The run that produces the response of an attempt.
 #[derive(Clone, Debug)]
 pub struct RunRequest {
--- a/standins/src/policy/router.rs
+++ b/standins/src/policy/router.rs
@@ -12,7 +12,7 @@
 use crate::policy::timeline::Timeline;
 use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
+    DisconnectPolicy, FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
@@ -290,7 +290,7 @@
             prompt: Tokens(arrival.prompt),
             max_output: Tokens(arrival.output),
             origin_lifetime: None,
-            outlives_caller: false,
+            after_disconnect: DisconnectPolicy::Cancel,
             retryable: true,
             progress_period: None,
             retries: Arc::new(UnlimitedRetries),
--- a/tests/flow/harness.rs
+++ b/tests/flow/harness.rs
@@ -2,7 +2,7 @@
 
 use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries,
+    DisconnectPolicy, FlowAction, FlowEvent, KvHandle, RequestFlow, RequestSpec, UnlimitedRetries,
 };
 use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ShardMessage, SlotClaim};
 use apricotrun::coordination::stops::WorkForecast;
@@ -53,7 +53,7 @@
             prompt: Tokens(1_000),
             max_output: Tokens(100),
             origin_lifetime: None,
-            outlives_caller: false,
+            after_disconnect: DisconnectPolicy::Cancel,
             retryable: true,
             progress_period: None,
             retries: Arc::new(UnlimitedRetries),
@@ -72,7 +72,8 @@
     pub fn plain(retryable: bool) -> Self {
         Self::new(|spec| {
             spec.inter_token_target = Duration::ZERO;
-            spec.outlives_caller = !retryable;
+            let policy = if retryable { DisconnectPolicy::Cancel } else { DisconnectPolicy::GoOn };
+            spec.after_disconnect = policy;
             spec.retryable = retryable;
         })
     }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -4,7 +4,7 @@
 
 use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
+    DisconnectPolicy, FlowAction, FlowEvent, KvHandle, RequestSpec, RetryLimiter, UpstreamFailure,
 };
 use apricotrun::coordination::messages::{ClaimPhase, GrantMessage, ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::stops::{STOP_RETRY_AFTER, StopPlan, WorkForecast, WritingForecast};
@@ -91,7 +91,7 @@
 fn grant_after_a_disconnect_is_released() {
     let mut harness = FlowHarness::new(|spec| spec.domains.truncate(1));
     harness.handle(FlowEvent::Start);
-    let actions = harness.handle(FlowEvent::CallerDisconnected);
+    let actions = harness.handle(FlowEvent::CallerDisconnected { is_sent: true });
     let withdraw = ShardMessage::Withdraw(attempt(1));
     assert_eq!(actions, [FlowAction::Send(harness.local_domain.clone(), withdraw)]);
     let actions = harness.grant(1, "d0", ClaimPhase::Prefill);
@@ -103,7 +103,7 @@
 fn disconnect_cancels_at_both_upstreams() {
     let mut harness = FlowHarness::new(|_| {});
     harness.start_decoding();
-    let actions = harness.handle(FlowEvent::CallerDisconnected);
+    let actions = harness.handle(FlowEvent::CallerDisconnected { is_sent: true });
     let [FlowAction::Abort { upstreams, outcome, .. }] = actions.as_slice() else {
         panic!("{actions:?}");
     };
@@ -540,11 +540,39 @@
     let mut harness = FlowHarness::plain(false);
     harness.handle(FlowEvent::Start);
     harness.grant(1, "d0", ClaimPhase::Run);
-    assert!(harness.handle(FlowEvent::CallerDisconnected).is_empty());
+    assert!(harness.handle(FlowEvent::CallerDisconnected { is_sent: true }).is_empty());
     let actions = harness.handle(FlowEvent::ResponseReceived(attempt(1)));
     assert!(actions.contains(&FlowAction::Finish));
 }
 
+/// Guards against a call that is sent, or sent again, after its caller has left and nobody can ask for its
+/// response. What has been sent is not broken off.
+#[test]
+fn call_that_nobody_can_ask_for_ends_with_its_caller_or_its_run() {
+    use UpstreamFailure::{Broken, Full, NothingSent};
+    let finish_run = DisconnectPolicy::FinishRun;
+    for (policy, phase, is_sent, failure, goes_on, is_retried) in [
+        (finish_run, ClaimPhase::Run, false, NothingSent, false, false),
+        (finish_run, ClaimPhase::Run, true, NothingSent, true, false),
+        (finish_run, ClaimPhase::Run, true, Full, true, false),
+        (finish_run, ClaimPhase::Run, true, Broken, true, false),
+        (finish_run, ClaimPhase::Prefill, true, Full, false, false),
+        (DisconnectPolicy::GoOn, ClaimPhase::Run, false, NothingSent, true, true),
+        (DisconnectPolicy::Cancel, ClaimPhase::Run, true, Broken, false, false),
+    ] {
+        let mut harness = FlowHarness::new(|spec| {
+            (spec.retryable, spec.after_disconnect) = (false, policy);
+        });
+        harness.handle(FlowEvent::Start);
+        harness.grant(1, "d0", phase);
+        let actions = harness.handle(FlowEvent::CallerDisconnected { is_sent });
+        assert_eq!(!harness.flow.is_ended(), goes_on, "{policy:?} {failure:?}: {actions:?}");
+        let actions = harness.handle(FlowEvent::RunFailed(attempt(1), failure));
+        assert_eq!(!admission_requests(&actions).is_empty(), is_retried, "{policy:?} {failure:?}");
+        assert_eq!(!harness.flow.is_ended(), is_retried, "{policy:?} {failure:?}: {actions:?}");
+    }
+}
+
 #[test]
 fn deadline_refuses_a_running_call_at_once() {
     let mut harness = FlowHarness::plain(false);
@@ -566,7 +594,7 @@
     for event in [
         FlowEvent::RunEnded(attempt(1), 1),
         FlowEvent::RunFailed(attempt(1), UpstreamFailure::Died),
-        FlowEvent::CallerDisconnected,
+        FlowEvent::CallerDisconnected { is_sent: true },
         FlowEvent::Tick,
     ] {
         assert!(harness.handle(event).is_empty());
--- a/tests/search/simulation.rs
+++ b/tests/search/simulation.rs
@@ -6,7 +6,7 @@
 use apricotrun::coordination::claims::ClaimSet;
 use apricotrun::coordination::crashing_parts::CrashVerdict;
 use apricotrun::coordination::flow::{
-    FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
+    DisconnectPolicy, FlowAction, FlowEvent, RequestFlow, RequestSpec, UnlimitedRetries,
 };
 use apricotrun::coordination::messages::{ReleaseOutcome, ShardMessage};
 use apricotrun::coordination::shard::{ShardAction, ShardEvent, ShardLedger, ShardRole};
@@ -156,7 +156,7 @@
             Operation::DisconnectCaller(pick) => {
                 let ids: Vec<_> = self.requests.keys().cloned().collect();
                 if let Some(id) = ids.get(*pick % ids.len().max(1)) {
-                    self.handle_flow_event(id, FlowEvent::CallerDisconnected);
+                    self.handle_flow_event(id, FlowEvent::CallerDisconnected { is_sent: true });
                 }
             }
             Operation::AdvanceTime => self.advance_time(),
@@ -209,7 +209,11 @@
             prompt: Tokens(1_000),
             max_output: Tokens(OUTPUT_TOKENS),
             origin_lifetime: None,
-            outlives_caller: !retryable,
+            after_disconnect: if retryable {
+                DisconnectPolicy::Cancel
+            } else {
+                DisconnectPolicy::GoOn
+            },
             retryable,
             progress_period: None,
             retries: Arc::new(UnlimitedRetries),
@@ -426,7 +430,9 @@
         (0..OWNERS).for_each(|owner| self.configure(owner));
         self.update_members();
         let ids: Vec<_> = self.requests.keys().cloned().collect();
-        ids.iter().for_each(|id| self.handle_flow_event(id, FlowEvent::CallerDisconnected));
+        ids.iter().for_each(|id| {
+            self.handle_flow_event(id, FlowEvent::CallerDisconnected { is_sent: true })
+        });
         for _ in 0..80 {
             self.advance_time();
             while self.pick_link(0).is_some() {
