Ask each connection of a resumable stream which process it reaches

Cause, of both: a host took the record of an upstream for the process that it was connected to, unless the store could not be read. Ruled out: the watch (a record that was never written cannot be watched) and the question at the break, which a process that has ended does not answer.

The upstream is now asked beside the first run, once for each connection, since a connection ends with its process. If it is not the process of its record, the stream goes on nowhere else, and the first such stream is told to all hosts by the message that already understands; a host that keeps an unknown origin refuses take-ups that name no stream until the record names the version.

--- a/src/coordination/stream_origins.rs
+++ b/src/coordination/stream_origins.rs
@@ -90,6 +90,8 @@
     daemons: DaemonDomains,
     entries: BTreeMap<String, OriginEntry>,
     expiry: BTreeSet<(Instant, String)>,
+    /// The streams of unknown version.
+    unknown: BTreeSet<String>,
 }
 
 impl OriginBoard {
@@ -121,6 +123,7 @@
         self.expire(now);
         let holders = holders_of(request, &origin, &self.daemons);
         let expires_at = now + lifetime;
+        self.note_version(request, &origin.software);
         let entry = OriginEntry { expires_at, holders, origin, writer: None };
         if let Some(old) = self.entries.insert(request.to_owned(), entry) {
             self.expiry.remove(&(old.expires_at, request.to_owned()));
@@ -154,10 +157,13 @@
         request: &str,
         software: &SoftwareVersion,
     ) -> Vec<OriginCopy> {
-        let Some(entry) = self.entries.get_mut(request) else { return Vec::new() };
-        if entry.origin.software == *software || entry.writer.is_none() {
+        let is_settled =
+            |entry: &OriginEntry| entry.origin.software == *software || entry.writer.is_none();
+        if self.entries.get(request).is_none_or(is_settled) {
             return Vec::new();
         }
+        self.note_version(request, software);
+        let Some(entry) = self.entries.get_mut(request) else { return Vec::new() };
         entry.origin.software = software.clone();
         let copies = entry.holders.iter().map(|to| OriginCopy {
             lifetime: entry.expires_at.saturating_duration_since(now),
@@ -174,6 +180,18 @@
         Some(&entry.origin)
     }
 
+    /// Returns an origin and for how long it is kept.
+    pub fn copy(&self, now: Instant, request: &str) -> Option<(StreamOrigin, Duration)> {
+        let entry = self.entries.get(request).filter(|entry| now < entry.expires_at)?;
+        Some((entry.origin.clone(), entry.expires_at.saturating_duration_since(now)))
+    }
+
+    /// Returns whether a stream of the service began at a version that nobody has named yet.
+    pub fn has_unknown(&self, now: Instant, service: &ServiceName) -> bool {
+        let mut unknown = self.unknown.iter().filter_map(|request| self.find(now, request));
+        unknown.any(|origin| origin.service == *service)
+    }
+
     /// Returns the daemons to ask for an origin that this daemon, in the failure domain `domain`,
     /// does not keep.
     pub fn daemons_to_ask(&self, request: &str, domain: &DomainName) -> BTreeSet<DaemonId> {
@@ -233,8 +251,16 @@
     fn drop_first(&mut self) {
         if let Some((_, request)) = self.expiry.pop_first() {
             self.entries.remove(&request);
+            self.unknown.remove(&request);
         }
     }
+
+    fn note_version(&mut self, request: &str, software: &SoftwareVersion) {
+        match *software == SoftwareVersion::unknown() {
+            true => self.unknown.insert(request.to_owned()),
+            false => self.unknown.remove(request),
+        };
+    }
 }
 
 /// Returns the daemons that should keep an origin besides the entry daemon.
--- a/src/transport/gateway/channels.rs
+++ b/src/transport/gateway/channels.rs
@@ -1,6 +1,7 @@
 //! A pool of HTTP connections to upstreams, with a limit on the open ones per address.
 
 use crate::coordination::flow::UpstreamFailure;
+use crate::coordination::upstream_lifetimes::LifetimeReport;
 use crate::prelude::*;
 use crate::transport::gateway::paths::PathWatch;
 use crate::transport::node::lock;
@@ -19,7 +20,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -73,6 +74,9 @@
 pub struct PooledConnection {
     permit: ConnectionPermit,
     key: ConnectionKey,
+    /// What the process at the other end has said of its lifetime, if it was asked. A connection ends with
+    /// its process, so this holds as long as it is open.
+    pub lifetime: Arc<OnceLock<LifetimeReport>>,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     writes_wait: Arc<AtomicBool>,
@@ -272,7 +276,14 @@
             }
         });
         let task = task.abort_handle();
-        Ok(PooledConnection { permit, key: key.clone(), sender, task, writes_wait })
+        Ok(PooledConnection {
+            permit,
+            key: key.clone(),
+            lifetime: Arc::default(),
+            sender,
+            task,
+            writes_wait,
+        })
     }
 
     fn report(&self, report: impl FnOnce(&PathWatch)) {
--- a/src/transport/gateway/forward.rs
+++ b/src/transport/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Sends a forwarded request to its upstreams and collects or relays the response.
 
 use crate::coordination::flow::{FlowEvent, KvHandle, UpstreamFailure};
+use crate::coordination::upstream_lifetimes::LifetimeReport;
 use crate::prelude::*;
 use crate::state::routes::RouteKind;
 use crate::transport::gateway::accounts::CallerIdentity;
@@ -28,7 +29,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::task::JoinHandle;
@@ -97,8 +98,10 @@
 
 /// Runs the attempts of one forwarded request.
 pub struct ForwardExecutor {
+    /// The question which process of the upstream begins the stream, until its answer is used.
+    confirmation: Mutex<Option<JoinHandle<()>>>,
     /// The upstream at which this daemon began the stream, if it did.
-    first_writer: Mutex<Option<FirstWriter>>,
+    first_writer: Arc<Mutex<Option<FirstWriter>>>,
     /// Whether an event of the stream has been relayed.
     has_relayed: AtomicBool,
     gateway: Arc<Gateway>,
@@ -130,7 +133,8 @@
         let window = Arc::new(StreamWindow::new(gateway.stream_window));
         Self {
             window,
-            first_writer: Mutex::new(None),
+            confirmation: Mutex::new(None),
+            first_writer: Arc::default(),
             has_relayed: AtomicBool::new(false),
             gateway,
             prefill_result: Mutex::new(None),
@@ -213,6 +217,19 @@
         Ok((UpstreamExchange { connection: exchange.connection, response }, head))
     }
 
+    /// Has the upstream asked that begins the stream which process it is, unless its connection shows it.
+    fn confirm_writer(&self, writer: FirstWriter, lifetime: Arc<OnceLock<LifetimeReport>>) {
+        let (gateway, request) = (self.gateway.clone(), self.request.head.request_id.clone());
+        let first_writer = self.first_writer.clone();
+        let task = tokio::spawn(async move {
+            let doubtful = gateway.confirm_writer(&request, writer, &lifetime).await;
+            if doubtful.is_some() {
+                *lock(&first_writer) = doubtful;
+            }
+        });
+        *lock(&self.confirmation) = Some(task);
+    }
+
     /// Asks the upstream that began the stream, if the caller has events of it, which process it is. It has
     /// often ended and does not answer, so it is asked ahead of the run that goes on.
     fn ask_writer(&self) {
@@ -231,6 +248,12 @@
     /// Returns whether the upstream that began the stream is known, within `patience`, to have been another
     /// process than its record said.
     async fn is_writer_refuted(&self, patience: Duration) -> bool {
+        let confirmation = lock(&self.confirmation).take();
+        if let Some(mut confirmation) = confirmation
+            && tokio::time::timeout(patience, &mut confirmation).await.is_err()
+        {
+            *lock(&self.confirmation) = Some(confirmation);
+        }
         let is_doubtful = lock(&self.first_writer)
             .as_ref()
             .is_some_and(|writer| writer.origin.beginning.is_doubtful());
@@ -288,14 +311,12 @@
             }
         }
         let begins = !goes_on && self.kind.is_resumable();
-        let mut writer = begins.then(|| self.gateway.describe_writer(run));
-        if let Some(writer) = &mut writer {
-            connection = self.gateway.confirm_writer(run, writer).await;
-        }
+        let writer = begins.then(|| self.gateway.describe_writer(run));
         let (exchange, head) = self.send(&run.target, step, connection).await?;
         if let Some(writer) = writer {
             let writer = self.gateway.keep_writer(&self.request.head.request_id, writer);
-            *lock(&self.first_writer) = Some(writer);
+            *lock(&self.first_writer) = Some(writer.clone());
+            self.confirm_writer(writer, exchange.connection.lifetime.clone());
         }
         if head.kind != ResponseKind::Matching {
             if head.kind != ResponseKind::Foreign {
--- a/src/transport/gateway/lifetimes.rs
+++ b/src/transport/gateway/lifetimes.rs
@@ -6,7 +6,8 @@
     LifetimeReport, RecordedLifetime, StreamBeginning, is_certain,
 };
 use crate::prelude::*;
-use crate::transport::gateway::channels::PooledConnection;
+use crate::transport::gateway::channels::{PooledConnection, UpstreamExchange};
+use crate::transport::gateway::dialect::UpstreamStep;
 use crate::transport::gateway::start::Gateway;
 use crate::transport::log_limiter::DecisionKind;
 use crate::transport::node::lock;
@@ -16,6 +17,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use metrics::counter;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use tokio::time::timeout;
 
 /// The largest report that is read, in bytes.
@@ -35,6 +37,22 @@
     pub origin: OriginWriter,
 }
 
+/// The answer of an upstream that was asked which process it is.
+#[derive(Debug)]
+struct LifetimeAnswer {
+    /// The connection on which it has answered, if that stays open.
+    connection: Option<PooledConnection>,
+    /// How long the upstream keeps the connection open while it is idle, if it says so.
+    keep_alive: Option<Duration>,
+    said: LifetimeReport,
+}
+
+impl LifetimeAnswer {
+    fn without_connection(said: LifetimeReport) -> Self {
+        Self { connection: None, keep_alive: None, said }
+    }
+}
+
 impl Gateway {
     /// Returns what is known of the upstream to which the first run of a stream is about to be sent.
     pub fn describe_writer(&self, run: &RunRequest) -> FirstWriter {
@@ -46,27 +64,63 @@
         FirstWriter { address: *address, origin }
     }
 
-    /// Asks the upstream at which a stream is about to begin which process it is, if its record may be of an
-    /// earlier one, as the store cannot be read. Once the upstream has ended, nobody can say which version
-    /// began the stream, so a stream whose beginning is uncertain goes on nowhere else. Returns the
-    /// connection on which the upstream has answered, if it stays open.
+    /// Asks the upstream that has just answered the first run of a stream which process it is, as its record
+    /// may be of an earlier one. Once it has ended, nobody can say which version began the stream.
+    /// `lifetime` is that of the connection which carries the stream; each connection is asked for once.
+    /// Returns what is known of the upstream if it is not the process of its record. The stream then goes on
+    /// nowhere else, and all hosts are told of it.
     pub async fn confirm_writer(
         &self,
-        run: &RunRequest,
-        writer: &mut FirstWriter,
-    ) -> Option<PooledConnection> {
-        if lock(&self.node.versions).is_readable() {
+        request: &str,
+        mut writer: FirstWriter,
+        lifetime: &OnceLock<LifetimeReport>,
+    ) -> Option<FirstWriter> {
+        let FirstWriter { address, origin } = &mut writer;
+        let recorded = origin.beginning.recorded.as_ref();
+        recorded.filter(|recorded| !recorded.incarnation.is_zero())?;
+        let said = match lifetime.get() {
+            Some(said) => *said,
+            None => {
+                let answer = self.ask_lifetime(*address, &origin.upstream, REPORT_TIMEOUT).await;
+                if let Some(connection) = answer.connection {
+                    self.connections.release(connection, answer.keep_alive);
+                }
+                answer.said
+            }
+        };
+        if is_certain(recorded, &origin.beginning.software, said) {
+            let _ = lifetime.set(said);
             return None;
         }
-        let AttemptTarget { address, upstream, .. } = &run.target;
-        let (said, connection) = self.ask_lifetime(*address, upstream, WRITER_TIMEOUT).await;
-        let beginning = &mut writer.origin.beginning;
-        if !is_certain(beginning.recorded.as_ref(), &run.software, said) {
-            self.log_uncertain(upstream, &run.software, said);
-            let (incarnation, software) = (Incarnation::default(), SoftwareVersion::unknown());
-            beginning.recorded = Some(RecordedLifetime { incarnation, software });
+        let incarnation = match said {
+            LifetimeReport::Started(incarnation, _) => incarnation,
+            // It is asked again before the stream goes on, if the list of upstreams is up to date.
+            _ if lock(&self.node.versions).is_readable() => return None,
+            LifetimeReport::Unsaid | LifetimeReport::Unanswered => Incarnation::default(),
+        };
+        self.log_uncertain(&origin.upstream, &origin.beginning.software, said);
+        let software = SoftwareVersion::unknown();
+        origin.beginning.recorded = Some(RecordedLifetime { incarnation, software });
+        lock(&self.node.origins).name_writer(request, origin.clone());
+        self.node.correct_origin(request, &SoftwareVersion::unknown());
+        self.announce_unknown(&origin.upstream, incarnation, request);
+        Some(writer)
+    }
+
+    /// Tells all hosts of a stream of unknown version, the first of its incarnation: a caller may take one up
+    /// at any host without saying which.
+    fn announce_unknown(&self, upstream: &UpstreamName, incarnation: Incarnation, request: &str) {
+        let is_new = {
+            let mut unknown = lock(&self.unknown_lifetimes);
+            let is_new = unknown.get(upstream).is_none_or(|(known, _)| *known != incarnation);
+            if is_new {
+                unknown.insert(upstream.clone(), (incarnation, request.to_owned()));
+            }
+            is_new
+        };
+        if is_new {
+            self.node.announce_origin(request);
         }
-        connection
     }
 
     /// Makes sure that the upstream at which a stream is to go on runs the software version that began it.
@@ -80,9 +134,10 @@
         run: &RunRequest,
     ) -> Result<Option<PooledConnection>, UpstreamFailure> {
         let AttemptTarget { address, upstream, .. } = &run.target;
-        let (said, connection) = self.ask_lifetime(*address, upstream, REPORT_TIMEOUT).await;
+        let answer = self.ask_lifetime(*address, upstream, REPORT_TIMEOUT).await;
+        let said = answer.said;
         if self.is_version_certain(run, said).await {
-            return Ok(connection);
+            return Ok(answer.connection);
         }
         self.log_uncertain(upstream, &run.software, said);
         Err(UpstreamFailure::Withheld)
@@ -92,7 +147,8 @@
     /// written it. If so, the stream may go on nowhere.
     pub async fn check_writer(&self, request: &str, writer: &FirstWriter) -> bool {
         let origin = &writer.origin;
-        let (said, _) = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
+        let answer = self.ask_lifetime(writer.address, &origin.upstream, WRITER_TIMEOUT).await;
+        let said = answer.said;
         let clock = &self.node.clock;
         let is_refuted = origin.is_refuted(clock.boot(), clock.wall(), said);
         if is_refuted {
@@ -132,9 +188,32 @@
         is_started && self.read_directory_since(asked_at).await && is_certain()
     }
 
+    /// Names the version of the streams that began here at an incarnation of which there was no record yet.
+    fn name_versions(&self, upstream: &UpstreamName, recorded: &RecordedLifetime) {
+        let known = lock(&self.unknown_lifetimes).remove(upstream);
+        let is_recorded = |known: &(Incarnation, String)| known.0 == recorded.incarnation;
+        let Some((_, announced)) = known.filter(is_recorded) else { return };
+        let begun: Vec<_> = {
+            let origins = lock(&self.node.origins);
+            let begun = origins.begun_at(upstream).filter(|(_, writer)| {
+                let beginning = writer.beginning.recorded.as_ref();
+                beginning.is_some_and(|known| known.incarnation == recorded.incarnation)
+            });
+            begun.map(|(request, writer)| (request.to_owned(), writer.clone())).collect()
+        };
+        for (request, mut writer) in begun {
+            let software = recorded.software.clone();
+            writer.beginning = StreamBeginning { recorded: Some(recorded.clone()), software };
+            lock(&self.node.origins).name_writer(&request, writer);
+            self.node.correct_origin(&request, &recorded.software);
+        }
+        self.node.announce_origin(&announced);
+    }
+
     /// Corrects the origins of the streams that began here at an upstream before its record was known.
     pub(super) fn correct_origins(&self, upstream: &UpstreamName) {
         let Some(recorded) = lock(&self.registry).lifetime_of(upstream) else { return };
+        self.name_versions(upstream, &recorded);
         let Some(started) = self.dialect.start_of(recorded.incarnation) else { return };
         let said = LifetimeReport::Started(recorded.incarnation, started);
         let (boot, wall) = (self.node.clock.boot(), self.node.clock.wall());
@@ -172,32 +251,35 @@
         address: SocketAddr,
         upstream: &UpstreamName,
         limit: Duration,
-    ) -> (LifetimeReport, Option<PooledConnection>) {
+    ) -> LifetimeAnswer {
         let recorded = lock(&self.registry).lifetime_of(upstream);
         if recorded.is_some_and(|recorded| recorded.incarnation.is_zero()) {
-            return (LifetimeReport::Unsaid, None);
+            return LifetimeAnswer::without_connection(LifetimeReport::Unsaid);
         }
         let asked = timeout(limit, self.request_report(address, upstream)).await;
-        asked.ok().flatten().unwrap_or((LifetimeReport::Unanswered, None))
+        let unanswered = LifetimeAnswer::without_connection(LifetimeReport::Unanswered);
+        asked.ok().flatten().unwrap_or(unanswered)
     }
 
     async fn request_report(
         &self,
         address: SocketAddr,
         upstream: &UpstreamName,
-    ) -> Option<(LifetimeReport, Option<PooledConnection>)> {
+    ) -> Option<LifetimeAnswer> {
         let host = header::HeaderValue::from_str(&address.to_string()).ok()?;
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.dialect.report_path().parse().ok()?;
         request.headers_mut().insert(header::HOST, host);
         let key = (address, upstream.clone());
         let limit = self.connection_limit(upstream);
-        let exchange =
-            self.connections.send(&key, limit, request, &SendGate::default()).await.ok()?;
-        let (head, body) = exchange.response.into_parts();
+        let exchange = self.connections.send(&key, limit, request, &SendGate::default()).await;
+        let UpstreamExchange { connection, response } = exchange.ok()?;
+        let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?.to_bytes();
-        let report = self.dialect.read_report(&head, &body)?;
+        let said = self.dialect.read_report(&head, &body)?;
+        let keep_alive = self.dialect.read_response("", UpstreamStep::Prefill, &head).keep_alive;
+        let _ = connection.lifetime.set(said);
         let closes = head.headers.get(header::CONNECTION).is_some_and(|value| value == "close");
-        Some((report, (!closes).then_some(exchange.connection)))
+        Some(LifetimeAnswer { connection: (!closes).then_some(connection), keep_alive, said })
     }
 }
--- a/src/transport/gateway/request.rs
+++ b/src/transport/gateway/request.rs
@@ -237,7 +237,8 @@
         }
         let (now, versions) = (node.clock.now(), lock(&node.versions));
         let is_sole = versions.has_seen_only(now, service, window, &version);
-        is_sole.then(|| (service.clone(), version))
+        drop(versions);
+        (is_sole && !node.has_unknown_origin(service)).then(|| (service.clone(), version))
     }
 
     /// Refuses a request that cannot end before this host does: other hosts serve it.
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -136,8 +136,8 @@
 
 /// The state that all requests of a gateway share.
 ///
-/// Lock order: `routes`, `registry`, `retry_limits`, `retries`, `shared_key`. None of them is held while a lock
-/// of [`DaemonNode`] is acquired, or across an await.
+/// Lock order: `routes`, `registry`, `retry_limits`, `retries`, `shared_key`, `unknown_lifetimes`. None of them is
+/// held while a lock of [`DaemonNode`] is acquired, or across an await.
 pub struct Gateway {
     /// The account of all callers.
     pub account: AccountName,
@@ -185,6 +185,9 @@
     pub source: Arc<dyn DirectorySource>,
     /// The key that this daemon shares with all others.
     pub shared_key: Mutex<SharedKey>,
+    /// The incarnations of upstreams that have begun streams here before their records were known, each with
+    /// the request of the stream that other hosts were told of.
+    pub(super) unknown_lifetimes: Mutex<BTreeMap<UpstreamName, (Incarnation, String)>>,
     first_start: bool,
     /// Whether the routes in the store can be read.
     pub(super) has_readable_routes: AtomicBool,
@@ -423,6 +426,7 @@
         routes: Mutex::new(ActiveRoutes::default()),
         source,
         shared_key: Mutex::new(registration.key),
+        unknown_lifetimes: Mutex::new(BTreeMap::new()),
         config_counter: AtomicU64::new(0),
     });
     let seen = snapshot.seen;
--- a/src/transport/stream_origins.rs
+++ b/src/transport/stream_origins.rs
@@ -74,6 +74,19 @@
         self.send_origins(copies);
     }
 
+    /// Tells all daemons of the origin of a stream that began here.
+    pub fn announce_origin(self: &Arc<Self>, request: &str) {
+        let copy = lock(&self.origins).copy(self.clock.now(), request);
+        let Some((origin, lifetime)) = copy else { return };
+        let request = request.to_owned();
+        self.broadcast(None, &PeerMessage::StreamOrigin { lifetime, origin, request });
+    }
+
+    /// Returns whether a stream of the service began at a version that nobody has named yet.
+    pub fn has_unknown_origin(&self, service: &ServiceName) -> bool {
+        lock(&self.origins).has_unknown(self.clock.now(), service)
+    }
+
     /// Keeps an origin that another daemon has sent.
     pub fn keep_origin(&self, request: &str, origin: StreamOrigin, lifetime: Duration) {
         lock(&self.origins).learn(self.clock.now(), request, origin, lifetime);
@@ -112,6 +125,8 @@
         let versions = lock(&self.versions);
         let sole_version = versions.sole_version(now, service, window);
         let sole_version = sole_version.filter(|_| versions.is_read_since(oldest));
+        drop(versions);
+        let sole_version = sole_version.filter(|_| !self.has_unknown_origin(service));
         OriginReply { known, sole_version }
     }
 
