Ask whether a role plan is due when its turn comes

Cause: the list of due plans was made once and carried out one plan after the other, each of which takes seconds. By the second one's turn the host knew of the return and of the other host's plan, and did not ask. Ruled out: the conditional write, whose condition, that the service has no plan, holds again after a return.

A plan is now due or not when its turn comes, and is given up if plans are held back before it is begun or before an order.

--- a/src/coordination/registry.rs
+++ b/src/coordination/registry.rs
@@ -268,13 +268,18 @@
         wait: Duration,
     ) -> (PlanDecision, Option<PlanRecord>) {
         let plan = self.plan_of(service);
-        let decision = match self.plans_held_until {
-            Some(until) if now < until => PlanDecision::Leave,
-            _ => plan.map_or(PlanDecision::Replace, |plan| plan.decide(now, wait)),
+        let decision = match self.holds_plans(now) {
+            true => PlanDecision::Leave,
+            false => plan.map_or(PlanDecision::Replace, |plan| plan.decide(now, wait)),
         };
         (decision, plan.map(|plan| plan.record().clone()))
     }
 
+    /// Returns whether no role plan may be made or begun now.
+    pub fn holds_plans(&self, now: Instant) -> bool {
+        self.plans_held_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the incarnation of an upstream.
     pub fn incarnation_of(&self, name: &UpstreamName) -> Option<Incarnation> {
         self.entries.get(name).map(|entry| entry.record.incarnation)
--- a/src/transport/gateway/roles.rs
+++ b/src/transport/gateway/roles.rs
@@ -50,8 +50,9 @@
         if check == 0 {
             gateway.send_stats();
         }
-        for due in gateway.due_plans() {
-            let service = due.service.clone();
+        for service in gateway.owned_services() {
+            // Carrying out a plan takes seconds, after which another one may not be due any more.
+            let Some(due) = gateway.due_plan(&service) else { continue };
             if let Err(error) = gateway.execute_plan(client.as_ref(), due).await {
                 log::warn!(service:% = service; "roles: executing the plan failed: {error}");
             }
@@ -96,9 +97,10 @@
     }
 
     fn stats_to_send(&self) -> Vec<(ServiceName, RequestStats)> {
-        let candidates = self
-            .plan_candidates()
-            .into_iter()
+        let services = self.owned_services();
+        let candidates = services
+            .iter()
+            .filter_map(|service| self.plan_candidate(service))
             .filter(|candidate| candidate.decision == PlanDecision::Replace);
         let now = self.node.clock.now();
         let shards = lock(&self.node.shards);
@@ -109,37 +111,25 @@
         stats.filter(|(_, stats)| stats.requests > 0).collect()
     }
 
-    /// Returns the services of which this daemon owns a shard and whose plan may be changed.
-    fn plan_candidates(&self) -> Vec<PlanCandidate> {
-        let owned_services: Vec<_> = {
-            let shards = lock(&self.node.shards);
-            let owned_services =
-                shards.iter().filter(|(_, ledger)| ledger.role() == ShardRole::Owner);
-            owned_services.map(|(name, _)| name.clone()).collect()
-        };
-        let now = self.node.clock.now();
-        let registry = lock(&self.registry);
-        let candidates = owned_services.into_iter().filter_map(|service| {
-            let (decision, previous) = registry.decide_plan(now, &service, self.propagation_limit);
-            (decision != PlanDecision::Leave).then_some(PlanCandidate {
-                previous,
-                service,
-                decision,
-            })
-        });
-        candidates.collect()
+    /// Returns the services of which this daemon owns a shard.
+    fn owned_services(&self) -> Vec<ServiceName> {
+        let shards = lock(&self.node.shards);
+        let owned_services = shards.iter().filter(|(_, ledger)| ledger.role() == ShardRole::Owner);
+        owned_services.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Returns the plans that this daemon may execute now.
-    fn due_plans(&self) -> Vec<DuePlan> {
-        self.plan_candidates()
-            .into_iter()
-            .filter_map(|candidate| self.due_plan(candidate))
-            .collect()
+    /// Returns the service as a candidate if its plan may be changed.
+    fn plan_candidate(&self, service: &ServiceName) -> Option<PlanCandidate> {
+        let now = self.node.clock.now();
+        let registry = lock(&self.registry);
+        let (decision, previous) = registry.decide_plan(now, service, self.propagation_limit);
+        let service = service.clone();
+        (decision != PlanDecision::Leave).then_some(PlanCandidate { previous, service, decision })
     }
 
-    fn due_plan(&self, candidate: PlanCandidate) -> Option<DuePlan> {
-        let PlanCandidate { previous, service, decision } = candidate;
+    /// Returns the plan of a service if this daemon may execute it now.
+    fn due_plan(&self, service: &ServiceName) -> Option<DuePlan> {
+        let PlanCandidate { previous, service, decision } = self.plan_candidate(service)?;
         let now = self.node.clock.now();
         let (shape, slowness) = {
             let shards = lock(&self.node.shards);
@@ -169,6 +159,9 @@
             }
         };
         let Some(version) = current else { return Ok(()) };
+        if self.holds_plans(&due.service) {
+            return Ok(());
+        }
         let begun = PlanRecord { begun: true, ..planned };
         let Some(fence) = self.write_plan(&due.service, &begun, version).await? else {
             log::info!(service:% = due.service; "roles: another daemon executes the plan");
@@ -235,6 +228,17 @@
         }
     }
 
+    /// Returns whether no plan may be carried out now, as the store has returned from an older copy: another
+    /// host may have sent orders by a plan that the store has lost.
+    fn holds_plans(&self, service: &ServiceName) -> bool {
+        let is_held = lock(&self.registry).holds_plans(self.node.clock.now());
+        if is_held {
+            counter!("apricotrun_held_plans_total").increment(1);
+            log::info!(service:% = service; "roles: the plan is given up, as the store has returned");
+        }
+        is_held
+    }
+
     async fn send_orders(
         &self,
         client: &dyn RoleClient,
@@ -251,6 +255,9 @@
                     "roles: the time for the plan's orders has passed"
                 );
             }
+            if self.holds_plans(service) {
+                return;
+            }
             let now = self.node.clock.now();
             let address = {
                 let registry = lock(&self.registry);
