Count a retry against the budget when it is sent

Workers may get twice the retries of a window: one that is allowed counted from that moment, though it may wait for seconds until an upstream is granted, and so arrive together with those of the next window.

A retry is now reserved when it is allowed and counted when its attempt is granted, and given back when its request ends without it. Reserved ones take room, so what is sent in a window never exceeds what is allowed in it.

With the count at the reservation, retry_counts_from_when_it_is_sent fails ("they are still to be sent"); it and retry_that_is_not_sent_is_given_back pass.

--- a/src/coordination/flow/attempts.rs
+++ b/src/coordination/flow/attempts.rs
@@ -70,6 +70,9 @@
         self.cached_prefill = None;
         self.open_response(out);
         self.attempts_started += 1;
+        if std::mem::take(&mut self.holds_retry) {
+            self.spec.retries.record_sent(now);
+        }
         out.push(FlowAction::Claim(domain.clone(), grant.claim.clone()));
         let running = grant.prefill_address.is_none();
         match grant.prefill_address {
@@ -382,12 +385,20 @@
     /// Takes a retry for a prompt that is prefilled once more: upstreams get that call besides the run.
     /// Returns false if the budget is spent, unless the caller has a part of the stream.
     fn take_prefill_retry(&self, now: Instant) -> bool {
-        !self.has_prefilled || self.spec.retries.try_acquire(now) || self.tokens() > 0
+        if !self.has_prefilled {
+            return true;
+        }
+        let is_allowed = self.spec.retries.try_acquire(now);
+        if is_allowed {
+            self.spec.retries.record_sent(now);
+        }
+        is_allowed || self.tokens() > 0
     }
 
-    /// Takes a retry from the budget, unless one is held that was not made.
-    fn take_retry(&mut self, now: Instant) -> bool {
-        std::mem::take(&mut self.holds_retry) || self.spec.retries.try_acquire(now)
+    /// Reserves a retry from the budget, unless one is held that was not sent.
+    pub(super) fn take_retry(&mut self, now: Instant) -> bool {
+        self.holds_retry = self.holds_retry || self.spec.retries.try_acquire(now);
+        self.holds_retry
     }
 
     /// Aborts the current attempt at every upstream where it may still run.
--- a/src/coordination/flow/events.rs
+++ b/src/coordination/flow/events.rs
@@ -102,9 +102,18 @@
 
 /// Limits how often requests are sent to further upstreams after their first, so that retries do
 /// not multiply the load on an overloaded or failing service.
+///
+/// A retry may wait for seconds until an upstream is granted, and upstreams count it when it arrives. It is
+/// therefore reserved first, and counted when it is sent.
 pub trait RetryLimiter: fmt::Debug + Send + Sync {
-    /// Counts one retry and returns true if the limit allows it now.
+    /// Reserves one retry and returns true if the limit allows it now.
     fn try_acquire(&self, now: Instant) -> bool;
+
+    /// Counts a reserved retry, which is sent now.
+    fn record_sent(&self, now: Instant);
+
+    /// Gives back a reserved retry that is not sent.
+    fn release(&self);
 }
 
 /// A [`RetryLimiter`] that allows every retry.
@@ -115,6 +124,10 @@
     fn try_acquire(&self, _now: Instant) -> bool {
         true
     }
+
+    fn record_sent(&self, _now: Instant) {}
+
+    fn release(&self) {}
 }
 
 /// The ways in which an upstream fails an attempt.
--- a/src/coordination/flow/mod.rs
+++ b/src/coordination/flow/mod.rs
@@ -134,7 +134,7 @@
     attempts_started: u32,
     /// Whether an upstream has prefilled the prompt.
     has_prefilled: bool,
-    /// Whether a retry has been taken from the budget that has not been made.
+    /// Whether a retry of the budget is reserved for the next attempt.
     holds_retry: bool,
     /// Whether [`FlowAction::UpstreamSilent`] has been returned for this attempt.
     silence_reported: bool,
@@ -710,3 +710,11 @@
         }
     }
 }
+
+impl Drop for RequestFlow {
+    fn drop(&mut self) {
+        if self.holds_retry {
+            self.spec.retries.release();
+        }
+    }
+}
--- a/src/coordination/flow/silence.rs
+++ b/src/coordination/flow/silence.rs
@@ -51,9 +51,7 @@
     fn seek_replacement(&mut self, now: Instant, out: &mut Vec<FlowAction>) {
         let may_run_again =
             self.runs + 1 < self.spec.max_runs && self.attempts_started < MAX_ATTEMPTS;
-        self.holds_retry =
-            may_run_again && (self.holds_retry || self.spec.retries.try_acquire(now));
-        let (may_move, deadline) = (self.holds_retry, self.spec.deadline);
+        let (may_move, deadline) = (may_run_again && self.take_retry(now), self.spec.deadline);
         let attempt = self.last_attempt + 1;
         let FlowStage::Active(active) = &mut self.stage else { return };
         if may_move {
@@ -152,7 +150,6 @@
         if !self.end_attempt(now, &silent, UpstreamFailure::Stalled, lost, out) {
             return self.release_grant(domain, grant, out);
         }
-        self.holds_retry = false;
         self.silence_reported = false;
         self.attempt = grant.claim.attempt.attempt;
         let position = self.spec.domains.iter().position(|known| *known == domain);
--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -28,6 +28,9 @@
     hosts: usize,
     limits: RetryLimits,
     requests: VecDeque<Instant>,
+    /// The retries that have been allowed and not been sent.
+    reserved: usize,
+    /// When retries were sent.
     retries: VecDeque<Instant>,
 }
 
@@ -59,7 +62,8 @@
     /// Creates the share of one of `hosts` daemons.
     pub fn new(limits: RetryLimits, hosts: usize) -> Self {
         let (requests, retries) = (VecDeque::new(), VecDeque::new());
-        Self { window: Mutex::new(RetryWindow { hosts, limits, requests, retries }) }
+        let reserved = 0;
+        Self { window: Mutex::new(RetryWindow { hosts, limits, requests, reserved, retries }) }
     }
 
     /// Counts a request of a caller, which raises the number of allowed retries.
@@ -84,10 +88,20 @@
     fn try_acquire(&self, now: Instant) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         window.prune(now);
-        let within_budget = (window.retries.len() + 1) as f64 <= window.allowed();
-        if within_budget {
-            window.retries.push_back(now);
-        }
+        let taken = window.retries.len() + window.reserved;
+        let within_budget = (taken + 1) as f64 <= window.allowed();
+        window.reserved += usize::from(within_budget);
         within_budget
     }
+
+    fn record_sent(&self, now: Instant) {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        window.reserved = window.reserved.saturating_sub(1);
+        window.retries.push_back(now);
+    }
+
+    fn release(&self) {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        window.reserved = window.reserved.saturating_sub(1);
+    }
 }
--- a/tests/flow/main.rs
+++ b/tests/flow/main.rs
@@ -236,6 +236,10 @@
     fn try_acquire(&self, _now: Instant) -> bool {
         false
     }
+
+    fn record_sent(&self, _now: Instant) {}
+
+    fn release(&self) {}
 }
 
 #[test]
@@ -258,6 +262,30 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1))
             .is_ok()
     }
+
+    fn record_sent(&self, _now: Instant) {}
+
+    fn release(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Guards against a budget that is used up by retries which were never sent.
+#[test]
+fn retry_that_is_not_sent_is_given_back() {
+    for is_sent in [false, true] {
+        let limiter = Arc::new(FewRetries(AtomicUsize::new(1)));
+        let mut harness = FlowHarness::new(|spec| spec.retries = limiter.clone());
+        harness.handle(FlowEvent::Start);
+        harness.grant(1, "d0", ClaimPhase::Run);
+        harness.handle(FlowEvent::RunFailed(attempt(1), UpstreamFailure::Full));
+        assert_eq!(limiter.0.load(Ordering::Relaxed), 0, "reserved");
+        if is_sent {
+            harness.grant(2, "d1", ClaimPhase::Run);
+        }
+        drop(harness);
+        assert_eq!(limiter.0.load(Ordering::Relaxed), usize::from(!is_sent));
+    }
 }
 
 /// Guards against review/9: a retry that has the prompt prefilled again is two calls at upstreams, and was
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -31,6 +31,7 @@
         }
         for budget in &budgets {
             while budget.try_acquire(now) {
+                budget.record_sent(now);
                 retries.push_back(now);
             }
         }
@@ -46,5 +47,26 @@
     let now = Instant::now();
     let budget = RetryBudget::new(LIMITS, 1);
     budget.set_hosts(54);
-    assert!(!budget.try_acquire(now), "a share below one retry allows none");
+    assert!(!budget.try_acquire(now + LIMITS.window), "a share below one retry allows none");
+}
+
+/// Reserves retries until none is allowed, and returns how many were.
+fn reserve(budget: &RetryBudget, now: Instant) -> usize {
+    std::iter::repeat_with(|| budget.try_acquire(now)).take_while(|allowed| *allowed).count()
+}
+
+/// Guards against retries that wait for an upstream and arrive together with those of the next window.
+#[test]
+fn retry_counts_from_when_it_is_sent() {
+    let start = Instant::now();
+    let budget = RetryBudget::new(LIMITS, 1);
+    let count = reserve(&budget, start);
+    assert!(count > 1, "a host that is alone has the whole floor");
+    let sent_at = start + LIMITS.window * 2;
+    assert!(!budget.try_acquire(sent_at), "they are still to be sent");
+    (1..count).for_each(|_| budget.record_sent(sent_at));
+    budget.release();
+    assert_eq!(reserve(&budget, sent_at + LIMITS.window / 2), 1, "one was given back");
+    budget.release();
+    assert_eq!(reserve(&budget, sent_at + LIMITS.window * 2), count);
 }
