--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -24,8 +24,6 @@
 /// This daemon's requests and retries in the sliding window.
 #[derive(Debug)]
 struct RetryWindow {
-    /// From when on this daemon has a share of the floor.
-    floor_from: Instant,
     /// The number of daemons that share the budget, this one included.
     hosts: usize,
     limits: RetryLimits,
@@ -47,11 +45,8 @@
     }
 
     /// Returns how many retries this daemon may make in one window.
-    fn allowed(&self, now: Instant) -> f64 {
-        let own_floor = match now >= self.floor_from {
-            true => self.limits.floor * SHARED_FRACTION / self.hosts.max(1) as f64,
-            false => 0.0,
-        };
+    fn allowed(&self) -> f64 {
+        let own_floor = self.limits.floor * SHARED_FRACTION / self.hosts.max(1) as f64;
         self.limits.ratio * SHARED_FRACTION * self.requests.len() as f64 + own_floor
     }
 }
@@ -64,23 +59,11 @@
 }
 
 impl RetryBudget {
-    /// Creates the share of one of `hosts` daemons. The one that started at `started` has a share of the floor
-    /// after one window: the process before it may have used the share, and it may not know yet how many
-    /// others there are.
-    pub fn new(limits: RetryLimits, hosts: usize, started: Instant) -> Self {
-        let floor_from = started + limits.window;
+    /// Creates the share of one of `hosts` daemons.
+    pub fn new(limits: RetryLimits, hosts: usize) -> Self {
         let (requests, retries) = (VecDeque::new(), VecDeque::new());
         let reserved = 0;
-        Self {
-            window: Mutex::new(RetryWindow {
-                floor_from,
-                hosts,
-                limits,
-                requests,
-                reserved,
-                retries,
-            }),
-        }
+        Self { window: Mutex::new(RetryWindow { hosts, limits, requests, reserved, retries }) }
     }
 
     /// Counts a request of a caller, which raises the number of allowed retries.
@@ -106,7 +89,7 @@
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         window.prune(now);
         let taken = window.retries.len() + window.reserved;
-        let within_budget = (taken + 1) as f64 <= window.allowed(now);
+        let within_budget = (taken + 1) as f64 <= window.allowed();
         window.reserved += usize::from(within_budget);
         within_budget
     }
