Let a process's part of the retry floor grow during its first window

Cause: a process that starts has an empty window and its whole share of the floor. What the process before it sent within the window still counts at the workers, and hosts that start together divide by the few others that they have heard of.

A process begins with the margin, a quarter of its share, and its part grows evenly to the whole within one window. While the earlier retries leave the window its own take their place: 0.8 (1 - x) + 0.2 + 0.6 x of the floor is at most all of it. A burst right before a restart and another one a window later may still exceed the budget.

--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -9,6 +9,9 @@
 /// The fraction of the fleet's budget that the known daemons divide; the rest is a margin for
 /// daemons that this one does not know yet.
 const SHARED_FRACTION: f64 = 0.8;
+/// The fraction of the floor that daemons divide as they start. The daemons before them may have used the
+/// rest within the window.
+const FIRST_FRACTION: f64 = 1.0 - SHARED_FRACTION;
 
 /// The retry budget of the whole fleet for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,6 +31,8 @@
     hosts: usize,
     limits: RetryLimits,
     requests: VecDeque<Instant>,
+    /// When this daemon started.
+    started: Instant,
     /// The retries that have been allowed and not been sent.
     reserved: usize,
     /// When retries were sent.
@@ -44,9 +49,11 @@
         }
     }
 
-    /// Returns how many retries this daemon may make in one window.
-    fn allowed(&self) -> f64 {
-        let own_floor = self.limits.floor * SHARED_FRACTION / self.hosts.max(1) as f64;
+    /// Returns how many retries this daemon may make in the window that ends now.
+    fn allowed(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.started).min(self.limits.window);
+        let growth = (SHARED_FRACTION - FIRST_FRACTION) * age.div_duration_f64(self.limits.window);
+        let own_floor = self.limits.floor * (FIRST_FRACTION + growth) / self.hosts.max(1) as f64;
         self.limits.ratio * SHARED_FRACTION * self.requests.len() as f64 + own_floor
     }
 }
@@ -59,11 +66,13 @@
 }
 
 impl RetryBudget {
-    /// Creates the share of one of `hosts` daemons.
-    pub fn new(limits: RetryLimits, hosts: usize) -> Self {
+    /// Creates the share of one of `hosts` daemons. During the first window from `started`, when this daemon
+    /// began, its part of the floor grows evenly: the process before it may have used its share, and this one
+    /// may not have heard yet of all that started with it. See docs/design/shared-limits.md.
+    pub fn new(limits: RetryLimits, hosts: usize, started: Instant) -> Self {
         let (requests, retries) = (VecDeque::new(), VecDeque::new());
-        let reserved = 0;
-        Self { window: Mutex::new(RetryWindow { hosts, limits, requests, reserved, retries }) }
+        let window = RetryWindow { hosts, limits, requests, started, reserved: 0, retries };
+        Self { window: Mutex::new(window) }
     }
 
     /// Counts a request of a caller, which raises the number of allowed retries.
@@ -89,7 +98,7 @@
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         window.prune(now);
         let taken = window.retries.len() + window.reserved;
-        let within_budget = (taken + 1) as f64 <= window.allowed();
+        let within_budget = (taken + 1) as f64 <= window.allowed(now);
         window.reserved += usize::from(within_budget);
         within_budget
     }
--- a/src/transport/gateway/start.rs
+++ b/src/transport/gateway/start.rs
@@ -507,7 +507,7 @@
         let mut retries = lock(&self.retries);
         let budget = retries
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(RetryBudget::new(limits, hosts)));
+            .or_insert_with(|| Arc::new(RetryBudget::new(limits, hosts, self.node.started)));
         budget.clone()
     }
 }
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -8,13 +8,15 @@
 const LIMITS: RetryLimits =
     RetryLimits { floor: 54.0, ratio: 0.2, window: Duration::from_secs(10) };
 
-/// Daemons with uneven shares of the requests retry as often as their limits allow. Together they
-/// stay within the fleet's budget in every window.
-#[test]
-fn daemons_that_retry_at_their_limit_stay_within_the_fleet_budget() {
-    let start = Instant::now();
+/// Plays daemons with uneven shares of the requests that retry as often as their limits allow, the first of them
+/// begun at `started`, and checks that together they stay within the fleet's budget in every window. All
+/// processes are replaced every `lifetime`.
+fn play(started: Instant, start: Instant, lifetime: Duration) {
     let hosts = 7;
-    let budgets: Vec<_> = (0..hosts).map(|_| RetryBudget::new(LIMITS, hosts)).collect();
+    let begin = |at: Instant| -> Vec<_> {
+        (0..hosts).map(|_| RetryBudget::new(LIMITS, hosts, at)).collect()
+    };
+    let (mut budgets, mut begun) = (begin(started), start);
     let mut requests = VecDeque::new();
     let mut retries = VecDeque::new();
     for step in 0..6_000_u64 {
@@ -24,6 +26,9 @@
                 times.pop_front();
             }
         };
+        if now - begun >= lifetime {
+            (budgets, begun) = (begin(now), now);
+        }
         // The load alternates, so that windows with few requests follow windows with many.
         if step % 1_500 < 700 {
             budgets[(step % 3) as usize].record_request(now);
@@ -42,10 +47,25 @@
     }
 }
 
+#[test]
+fn daemons_that_retry_at_their_limit_stay_within_the_fleet_budget() {
+    let started = Instant::now();
+    play(started, started + LIMITS.window, Duration::MAX);
+}
+
+/// Guards against processes that begin with a full share while what those before them sent still counts.
+#[test]
+fn daemons_that_start_again_stay_within_the_fleet_budget() {
+    let start = Instant::now();
+    for lifetime in [3, 7, 13, 25] {
+        play(start, start, Duration::from_secs(lifetime));
+    }
+}
+
 #[test]
 fn more_hosts_mean_smaller_shares() {
     let now = Instant::now();
-    let budget = RetryBudget::new(LIMITS, 1);
+    let budget = RetryBudget::new(LIMITS, 1, now);
     budget.set_hosts(54);
     assert!(!budget.try_acquire(now + LIMITS.window), "a share below one retry allows none");
 }
@@ -58,8 +78,8 @@
 /// Guards against retries that wait for an upstream and arrive together with those of the next window.
 #[test]
 fn retry_counts_from_when_it_is_sent() {
-    let start = Instant::now();
-    let budget = RetryBudget::new(LIMITS, 1);
+    let started = Instant::now();
+    let (budget, start) = (RetryBudget::new(LIMITS, 1, started), started + LIMITS.window);
     let count = reserve(&budget, start);
     assert!(count > 1, "a host that is alone has the whole floor");
     let sent_at = start + LIMITS.window * 2;
