Give a host that is alone its whole part of the retry floor from the start

The growth is for the retries of others, which a host does not know yet; one that is alone has no others. It has the whole share at once, as before. Fleets keep the growth. A host that is alone and starts again forgets what the process before it sent, as before.

--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -51,10 +51,19 @@
 
     /// Returns how many retries this daemon may make in the window that ends now.
     fn allowed(&self, now: Instant) -> f64 {
+        let own_floor = self.limits.floor * self.divided_fraction(now) / self.hosts.max(1) as f64;
+        self.limits.ratio * SHARED_FRACTION * self.requests.len() as f64 + own_floor
+    }
+
+    /// Returns the fraction of the floor that is divided among the daemons. A daemon that is alone has the
+    /// whole share from the start, as no other one makes its retries.
+    fn divided_fraction(&self, now: Instant) -> f64 {
+        if self.hosts <= 1 {
+            return SHARED_FRACTION;
+        }
         let age = now.saturating_duration_since(self.started).min(self.limits.window);
         let growth = (SHARED_FRACTION - FIRST_FRACTION) * age.div_duration_f64(self.limits.window);
-        let own_floor = self.limits.floor * (FIRST_FRACTION + growth) / self.hosts.max(1) as f64;
-        self.limits.ratio * SHARED_FRACTION * self.requests.len() as f64 + own_floor
+        FIRST_FRACTION + growth
     }
 }
 
